--- /dev/null
+++ b/cli/src/main/java/org/endivemux/cli/Commands.java
@@ -0,0 +1,184 @@
+package org.endivemux.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.function.BiFunction;
+import java.util.stream.StreamSupport;
+import org.endivemux.model.Declaration;
+import org.endivemux.model.DeclarationCheck;
+import org.endivemux.model.Keys;
+
+/** Lists the subcommands, all of one shape. Stateless and thread-safe. */
+final class Commands {
+  private static final int KEY_BYTES = 32;
+
+  private Commands() {}
+
+  /** Returns all subcommands in the order of the help. */
+  static List<Command> all() {
+    return List.of(
+        make(
+            "plan",
+            "FILE [--id PLAN]",
+            "Checks a declaration and shows what it would change, cost and risk.",
+            "endivemux plan gardskassan.yaml",
+            Commands::plan),
+        make(
+            "confirm",
+            "PLAN",
+            "Makes a plan the configuration in force; a resend gets the first answer.",
+            "endivemux confirm 0b7c2c6e",
+            (session, args) ->
+                session.post("/v1/plans/" + args.word(0, "plan") + "/confirm", Map.of())),
+        make(
+            "status",
+            "",
+            "Shows the leader, its members, entries and orders.",
+            "endivemux status --output json",
+            (session, args) -> session.get("/v1/status")),
+        make(
+            "entries",
+            "",
+            "Shows which entries callers are told to use.",
+            "endivemux entries",
+            (session, args) -> session.get("/v1/entries")),
+        make(
+            "key create",
+            "--organisation ORG [--role CALLER|VIEWER|OPERATOR] [--label TEXT]",
+            "Makes a key and prints it once; the system keeps only its digest.",
+            "endivemux key create --organisation eggs --label till-7",
+            Commands::createKey),
+        make(
+            "key withdraw",
+            "DIGEST-PREFIX",
+            "Withdraws a key for good, also on open connections.",
+            "endivemux key withdraw 3fa9c1d2",
+            (session, args) -> session.delete("/v1/keys/" + args.word(0, "key's digest"))),
+        make(
+            "backend leave",
+            "ID...",
+            "Gives backend servers no new work.",
+            "endivemux backend leave engine-3",
+            (session, args) -> setLeaving(session, args, true)),
+        make(
+            "backend return",
+            "ID...",
+            "Gives backend servers work again.",
+            "endivemux backend return engine-3",
+            (session, args) -> setLeaving(session, args, false)),
+        make(
+            "usage",
+            "",
+            "Shows closed usage windows.",
+            "endivemux usage --output json",
+            (session, args) -> session.get("/v1/usage")),
+        make(
+            "outcome",
+            "IDEMPOTENCY-KEY",
+            "Shows what became of a call that runs at most once; needs the caller's key.",
+            "endivemux outcome 019400c8-0000-7000-8000-000000000001 --key-file caller.key",
+            (session, args) -> session.get("/v1/outcomes/" + args.word(0, "idempotency key"))),
+        make(
+            "drain",
+            "VM",
+            "Lets a VM finish its requests and stop.",
+            "endivemux drain vm2",
+            Commands::drain));
+  }
+
+  private static Command make(
+      String name,
+      String arguments,
+      String summary,
+      String example,
+      BiFunction<Session, Command.Arguments, JsonNode> action) {
+    return new SimpleCommand(name, arguments, summary, example, action);
+  }
+
+  private static JsonNode plan(Session session, Command.Arguments arguments) {
+    Declaration declaration = readDeclaration(Path.of(arguments.word(0, "file")));
+    List<String> errors = DeclarationCheck.errors(declaration);
+    if (!errors.isEmpty()) {
+      throw new CliException(ExitStatus.USAGE, String.join(System.lineSeparator(), errors));
+    }
+    String id = arguments.option("id", UUID.randomUUID().toString());
+    return session.post("/v1/plans", Map.of("plan", id, "declaration", declaration));
+  }
+
+  private static Declaration readDeclaration(Path file) {
+    try {
+      YAMLMapper yaml = YAMLMapper.builder().addModule(new Jdk8Module()).build();
+      return yaml.readValue(Files.readString(file, StandardCharsets.UTF_8), Declaration.class);
+    } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+      throw new CliException(ExitStatus.USAGE, file + ": " + e.getOriginalMessage());
+    } catch (IOException e) {
+      throw new CliException(ExitStatus.USAGE, file + " can not be read; check the path.");
+    }
+  }
+
+  private static JsonNode createKey(Session session, Command.Arguments arguments) {
+    byte[] secret = new byte[KEY_BYTES];
+    new SecureRandom().nextBytes(secret);
+    String key = "emx_" + Base64.getUrlEncoder().withoutPadding().encodeToString(secret);
+    String digest = Keys.digest(key).value();
+    session.post(
+        "/v1/keys",
+        Map.of(
+            "digest",
+            digest,
+            "organisation",
+            arguments.required("organisation"),
+            "role",
+            arguments.option("role", "CALLER"),
+            "label",
+            arguments.option("label", "")));
+    ObjectNode shown = JsonNodeFactory.instance.objectNode();
+    shown.put("key", key);
+    shown.put("digest", digest);
+    return shown;
+  }
+
+  private static JsonNode setLeaving(
+      Session session, Command.Arguments arguments, boolean leaving) {
+    arguments.word(0, "backend server");
+    return session.post(
+        "/v1/backends/leaving", Map.of("ids", arguments.words(), "leaving", leaving));
+  }
+
+  private static JsonNode drain(Session session, Command.Arguments arguments) {
+    String vm = arguments.word(0, "VM");
+    String address =
+        StreamSupport.stream(session.get("/v1/entries").path("entries").spliterator(), false)
+            .filter(entry -> entry.path("vm").asText().equals(vm))
+            .map(entry -> entry.path("address").asText())
+            .findFirst()
+            .orElseThrow(
+                () -> new CliException(ExitStatus.USAGE, "No serving entry is called " + vm + "."));
+    return session.only(address).post("/v1/drain", Map.of());
+  }
+
+  private record SimpleCommand(
+      String name,
+      String arguments,
+      String summary,
+      String example,
+      BiFunction<Session, Command.Arguments, JsonNode> action)
+      implements Command {
+    @Override
+    public JsonNode run(Session session, Arguments given) {
+      return action.apply(session, given);
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/endivemux/consensus/CoreState.java
@@ -0,0 +1,146 @@
+package org.endivemux.consensus;
+
+import java.util.Optional;
+import java.util.Set;
+import org.endivemux.model.DiskId;
+import org.endivemux.model.VmId;
+import org.endivemux.statechart.StateChart;
+
+/**
+ * Holds the state that the parts of one core share.
+ *
+ * <p>Invariants: {@code applied <= commit <= log.lastIndex()}; {@code durable} never covers an
+ * entry that was cut; the term never falls. Confined to the core's thread.
+ */
+final class CoreState {
+  private static final StateChart<Role, RoleEvent> CHART =
+      StateChart.load("member.yaml", Role.class, RoleEvent.class);
+
+  final VmId self;
+  final DiskId disk;
+  final Set<VmId> named;
+  final Timing timing;
+  final ReplicatedLog log;
+  final long startedAt;
+
+  long term;
+  Optional<DiskId> vote;
+  Role role;
+  Optional<VmId> leader = Optional.empty();
+  long commit;
+  long applied;
+  long durable;
+  Effects effects = new Effects();
+
+  /** When a leader was last heard; empty before the first time since the start. */
+  Optional<Long> heardLeaderAt = Optional.empty();
+
+  long electionDeadline;
+  private long timeouts;
+
+  CoreState(VmId self, Set<VmId> named, Recovered recovered, Timing timing, long now) {
+    this.self = self;
+    this.disk = recovered.disk();
+    this.named = Set.copyOf(named);
+    this.timing = timing;
+    this.log = new ReplicatedLog(recovered.snapshot(), recovered.entries());
+    this.startedAt = now;
+    this.term = recovered.hardState().term();
+    this.vote = recovered.hardState().vote();
+    this.commit = recovered.snapshot().index();
+    this.applied = commit;
+    this.durable = log.lastIndex();
+    this.role = CHART.initial();
+    if (log.lastIndex() > 0) {
+      startFormed();
+    }
+    deferElection(now);
+  }
+
+  private void startFormed() {
+    fire(log.membership().hasVoter(disk) ? RoleEvent.FORMED : RoleEvent.LEADER_HEARD);
+  }
+
+  void fire(RoleEvent event) {
+    role = CHART.require(role, event);
+  }
+
+  boolean leads() {
+    return role == Role.LEADER;
+  }
+
+  void deferElection(long now) {
+    long seed = disk.hashCode() * 31L + term * 7919L + timeouts++;
+    electionDeadline = now + timing.electionTimeout(seed);
+  }
+
+  /** Returns whether votes must be refused because a leader may still hold a lease. */
+  boolean mayHaveLeader(long now) {
+    boolean justStarted = now - startedAt < timing.voteRefusalNanos();
+    boolean justHeard =
+        heardLeaderAt.filter(at -> now - at < timing.voteRefusalNanos()).isPresent();
+    return leads() || justStarted || justHeard;
+  }
+
+  void saveHardState() {
+    effects.save(new HardState(term, vote));
+  }
+
+  /** Takes over a higher term, as a follower without a vote cast. */
+  void adoptTerm(long newTerm) {
+    if (newTerm <= term) {
+      return;
+    }
+    term = newTerm;
+    vote = Optional.empty();
+    saveHardState();
+    leader = Optional.empty();
+    if (role != Role.UNFORMED) {
+      fire(RoleEvent.HIGHER_TERM);
+    }
+  }
+
+  Envelope envelope(Member to, Message message) {
+    return new Envelope(self, disk, to.vm(), Optional.of(to.disk()), message);
+  }
+
+  void send(Member to, Message message) {
+    effects.send(envelope(to, message));
+  }
+
+  void reply(Envelope request, Message message) {
+    effects.send(replyTo(request, message));
+  }
+
+  Envelope replyTo(Envelope request, Message message) {
+    return new Envelope(self, disk, request.from(), Optional.of(request.fromDisk()), message);
+  }
+
+  /** Moves between learner and follower as the log's latest membership says. */
+  void reconcileRole() {
+    boolean voter = log.membership().hasVoter(disk);
+    if (role == Role.LEARNER && voter) {
+      fire(RoleEvent.PROMOTED);
+    } else if (isPassiveVoter() && !voter) {
+      fire(RoleEvent.DEMOTED);
+    }
+  }
+
+  private boolean isPassiveVoter() {
+    return role == Role.FOLLOWER || role == Role.PRE_CANDIDATE || role == Role.CANDIDATE;
+  }
+
+  void appendToLog(LogEntry entry) {
+    durable = Math.min(durable, entry.index() - 1);
+    log.append(entry);
+    effects.append(entry);
+  }
+
+  void commitTo(long index) {
+    commit = Math.max(commit, Math.min(index, log.lastIndex()));
+    if (commit > applied) {
+      effects.commit(log.range(applied + 1, commit));
+      applied = commit;
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/endivemux/consensus/Message.java
@@ -0,0 +1,59 @@
+package org.endivemux.consensus;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+
+/** Describes what members say to each other. All kinds are immutable and thread-safe. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = Message.VoteRequest.class, name = "vq"),
+  @JsonSubTypes.Type(value = Message.VoteReply.class, name = "vr"),
+  @JsonSubTypes.Type(value = Message.Append.class, name = "aq"),
+  @JsonSubTypes.Type(value = Message.AppendReply.class, name = "ar"),
+  @JsonSubTypes.Type(value = Message.InstallSnapshot.class, name = "sn"),
+  @JsonSubTypes.Type(value = Message.Probe.class, name = "pq"),
+  @JsonSubTypes.Type(value = Message.ProbeReply.class, name = "pr"),
+  @JsonSubTypes.Type(value = Message.Form.class, name = "fm"),
+  @JsonSubTypes.Type(value = Message.Join.class, name = "jn")
+})
+public sealed interface Message {
+  /** Asks for a vote; with {@code pre}, only whether one would be given. */
+  record VoteRequest(long term, boolean pre, long lastIndex, long lastTerm) implements Message {}
+
+  record VoteReply(long term, boolean pre, boolean granted) implements Message {}
+
+  /**
+   * Appends entries after {@code prevIndex}; without entries it is a heartbeat.
+   *
+   * @param sentAt the leader's monotonic clock, echoed in the reply, from which its lease runs
+   */
+  record Append(
+      long term, long prevIndex, long prevTerm, List<LogEntry> entries, long commit, long sentAt)
+      implements Message {
+    public Append {
+      entries = List.copyOf(entries);
+    }
+  }
+
+  /**
+   * Answers an append.
+   *
+   * @param index when accepted, the last entry that is synced and the same as the leader's;
+   *     otherwise the last index that may be the same
+   */
+  record AppendReply(long term, boolean accepted, long index, long sentAt) implements Message {}
+
+  record InstallSnapshot(long term, Snapshot snapshot, long sentAt) implements Message {}
+
+  /** Asks a named voter whether its disk is blank. */
+  record Probe() implements Message {}
+
+  record ProbeReply(boolean blank) implements Message {}
+
+  /** Tells a blank voter the first membership. */
+  record Form(Membership membership) implements Message {}
+
+  /** Asks to become a learner under the sender's disk id. */
+  record Join() implements Message {}
+}
--- /dev/null
+++ b/consensus/src/test/java/org/endivemux/consensus/ClusterSimulation.java
@@ -0,0 +1,335 @@
+package org.endivemux.consensus;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.endivemux.consensus.ConsensusCore.Status;
+import org.endivemux.model.Bytes;
+import org.endivemux.model.DiskId;
+import org.endivemux.model.VmId;
+
+/**
+ * Runs several cores in one virtual time over a network and disks that fail from a seed.
+ *
+ * <p>After every event it checks that a term has one leader, that no committed entry differs
+ * between members, and that at most one member holds a lease. Confined to one thread.
+ */
+final class ClusterSimulation {
+  static final long MILLI = 1_000_000L;
+  private static final Timing TIMING = Timing.standard();
+
+  private final Random random;
+  private final List<Node> nodes = new ArrayList<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final Map<Long, DiskId> leaders = new HashMap<>();
+  private final Map<Long, String> committed = new HashMap<>();
+  private final Set<Integer> isolated = new HashSet<>();
+  private long now = 1000 * MILLI;
+  private long order;
+  private int disks;
+  private double loss;
+
+  ClusterSimulation(int size, long seed) {
+    random = new Random(seed);
+    Set<VmId> named =
+        IntStream.range(0, size).mapToObj(ClusterSimulation::vm).collect(Collectors.toSet());
+    IntStream.range(0, size).forEach(i -> nodes.add(new Node(i, named)));
+    nodes.forEach(Node::start);
+  }
+
+  private static VmId vm(int i) {
+    return new VmId("vm" + i);
+  }
+
+  private record Event(long at, long order, Runnable action) {}
+
+  void at(long delay, Runnable action) {
+    events.add(new Event(now + delay, order++, action));
+  }
+
+  void runFor(long nanos) {
+    long end = now + nanos;
+    while (!events.isEmpty() && events.peek().at() <= end) {
+      Event event = events.poll();
+      now = event.at();
+      event.action().run();
+      checkLeases();
+    }
+    now = end;
+  }
+
+  void withLoss(double share) {
+    loss = share;
+  }
+
+  void isolate(int node) {
+    isolated.add(node);
+  }
+
+  void crash(int node) {
+    nodes.get(node).crash();
+  }
+
+  void restart(int node) {
+    nodes.get(node).start();
+  }
+
+  void freeze(int node) {
+    nodes.get(node).frozen = true;
+  }
+
+  /** Loses a disk unless an earlier loss is still being repaired; then it does nothing. */
+  boolean loseDisk(int node) {
+    if (!isWhole()) {
+      return false;
+    }
+    nodes.get(node).crash();
+    nodes.get(node).newDisk();
+    nodes.get(node).start();
+    return true;
+  }
+
+  boolean isWhole() {
+    Set<DiskId> present = nodes.stream().map(node -> node.disk.id).collect(Collectors.toSet());
+    return leader()
+        .map(Node::status)
+        .filter(status -> status.commit() == status.lastIndex())
+        .filter(status -> status.membership().voters().equals(present))
+        .isPresent();
+  }
+
+  void compact(int node) {
+    nodes.get(node).compact();
+  }
+
+  void propose(String command) {
+    nodes.stream().filter(Node::runs).forEach(node -> node.propose(command));
+  }
+
+  void heal() {
+    loss = 0;
+    isolated.clear();
+    nodes.forEach(node -> node.frozen = false);
+    nodes.stream().filter(node -> node.core.isEmpty()).forEach(Node::start);
+  }
+
+  Optional<Node> leader() {
+    return nodes.stream()
+        .filter(Node::runs)
+        .filter(node -> node.status().holdsLease(node.clock()))
+        .findFirst();
+  }
+
+  boolean hasCommitted(String command) {
+    return committed.containsValue(command);
+  }
+
+  boolean allApplied(String command) {
+    return nodes.stream().allMatch(node -> node.applied.endsWith(command + ";"));
+  }
+
+  private void checkLeases() {
+    List<Node> holders =
+        nodes.stream()
+            .filter(node -> node.core.isPresent())
+            .filter(node -> node.status().holdsLease(node.clock()))
+            .toList();
+    if (holders.size() > 1) {
+      throw new AssertionError("Two members hold a lease: " + holders);
+    }
+  }
+
+  /** Runs one member with its clock, disk and applied commands. */
+  final class Node {
+    final int number;
+    final Set<VmId> named;
+    final double rate;
+    final long offset;
+    SimulatedDisk disk;
+    Optional<ConsensusCore> core = Optional.empty();
+    boolean frozen;
+    String applied = "";
+    private long appliedIndex;
+    private int life;
+    private final Deque<Runnable> inbox = new ArrayDeque<>();
+
+    Node(int number, Set<VmId> named) {
+      this.number = number;
+      this.named = named;
+      this.rate = 1 + (random.nextDouble() - 0.5) * 0.04;
+      this.offset = random.nextInt(1000) * MILLI;
+      newDisk();
+    }
+
+    void newDisk() {
+      disk = new SimulatedDisk(new DiskId("disk" + disks++));
+    }
+
+    long clock() {
+      return offset + (long) (now * rate);
+    }
+
+    boolean runs() {
+      return core.isPresent() && !frozen;
+    }
+
+    Status status() {
+      return core.orElseThrow().status(clock());
+    }
+
+    void start() {
+      life++;
+      Recovered recovered = disk.recover();
+      core = Optional.of(new ConsensusCore(vm(number), named, recovered, TIMING, clock()));
+      applied = recovered.snapshot().state().toUtf8();
+      appliedIndex = recovered.snapshot().index();
+      inbox.clear();
+      scheduleTick(life);
+    }
+
+    void crash() {
+      core = Optional.empty();
+      life++;
+    }
+
+    private void scheduleTick(int ofLife) {
+      at(
+          20 * MILLI,
+          () -> {
+            if (life == ofLife) {
+              if (runs()) {
+                drain();
+                handle(core.orElseThrow().tick(clock()));
+              }
+              scheduleTick(ofLife);
+            }
+          });
+    }
+
+    private void drain() {
+      while (!inbox.isEmpty()) {
+        inbox.poll().run();
+      }
+    }
+
+    void propose(String command) {
+      handle(core.orElseThrow().propose(List.of(Bytes.ofUtf8(command)), clock()).effects());
+    }
+
+    void compact() {
+      if (runs() && appliedIndex > 0) {
+        handle(core.orElseThrow().compact(appliedIndex, Bytes.ofUtf8(applied)));
+      }
+    }
+
+    void deliver(Envelope envelope) {
+      if (core.isEmpty()) {
+        return;
+      }
+      inbox.add(() -> handle(core.orElseThrow().receive(envelope, clock())));
+      if (!frozen) {
+        drain();
+      }
+    }
+
+    private void handle(Effects effects) {
+      noteLeader();
+      effects.messages().forEach(ClusterSimulation.this::send);
+      int ofLife = life;
+      SimulatedDisk target = disk;
+      long delay = effects.persist().isPresent() ? random.nextInt(8) * MILLI : 0;
+      syncAt = Math.max(syncAt, now + delay);
+      at(syncAt - now, () -> sync(effects, ofLife, target));
+      effects.installed().ifPresent(this::install);
+      effects.committed().forEach(this::apply);
+    }
+
+    private long syncAt;
+
+    private void sync(Effects effects, int ofLife, SimulatedDisk target) {
+      if (life != ofLife) {
+        return;
+      }
+      effects.persist().ifPresent(target::write);
+      effects.afterPersist().forEach(ClusterSimulation.this::send);
+      effects.persist().flatMap(ClusterSimulation::lastPosition).ifPresent(this::persisted);
+    }
+
+    private void persisted(ConsensusCore.Position position) {
+      inbox.add(() -> handle(core.orElseThrow().persisted(position.term(), position.index())));
+      if (!frozen) {
+        drain();
+      }
+    }
+
+    private void install(Snapshot snapshot) {
+      applied = snapshot.state().toUtf8();
+      appliedIndex = snapshot.index();
+    }
+
+    private void apply(LogEntry entry) {
+      String text = entry.command().toUtf8();
+      String known = committed.putIfAbsent(entry.index(), text);
+      if (known != null && !known.equals(text)) {
+        throw new AssertionError("Entry " + entry.index() + " is both " + known + " and " + text);
+      }
+      if (entry.index() != appliedIndex + 1) {
+        throw new AssertionError("Entry " + entry.index() + " applied after " + appliedIndex);
+      }
+      appliedIndex = entry.index();
+      applied += entry.hasCommand() ? text + ";" : "";
+    }
+
+    private void noteLeader() {
+      if (status().role() == Role.LEADER) {
+        DiskId known = leaders.putIfAbsent(status().term(), disk.id);
+        if (known != null && !known.equals(disk.id)) {
+          throw new AssertionError("Term " + status().term() + " has two leaders.");
+        }
+      }
+    }
+
+    @Override
+    public String toString() {
+      return "vm" + number + " " + status();
+    }
+  }
+
+  private static Optional<ConsensusCore.Position> lastPosition(Effects.Persist persist) {
+    int size = persist.entries().size();
+    return size > 0
+        ? Optional.of(persist.entries().get(size - 1))
+            .map(entry -> new ConsensusCore.Position(entry.index(), entry.term()))
+        : persist.snapshot().map(s -> new ConsensusCore.Position(s.index(), s.term()));
+  }
+
+  private void send(Envelope envelope) {
+    int copies = random.nextDouble() < loss ? random.nextInt(3) : 1;
+    IntStream.range(0, copies).forEach(i -> sendOnce(envelope));
+  }
+
+  private void sendOnce(Envelope envelope) {
+    long spread = loss > 0 ? random.nextInt(60) : random.nextInt(3);
+    int from = Integer.parseInt(envelope.from().value().substring(2));
+    int to = Integer.parseInt(envelope.to().value().substring(2));
+    at(
+        (3 + spread) * MILLI,
+        () -> {
+          if (!isolated.contains(from) && !isolated.contains(to)) {
+            nodes.get(to).deliver(envelope);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/consensus/src/test/java/org/endivemux/consensus/SimulatedDisk.java
@@ -0,0 +1,41 @@
+package org.endivemux.consensus;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.endivemux.consensus.Effects.Persist;
+import org.endivemux.model.DiskId;
+
+/** Keeps what a simulated member has synced. Confined to the simulation's thread. */
+final class SimulatedDisk {
+  final DiskId id;
+  private HardState hardState = HardState.initial();
+  private Snapshot snapshot = Snapshot.blank();
+  private final List<LogEntry> entries = new ArrayList<>();
+
+  SimulatedDisk(DiskId id) {
+    this.id = id;
+  }
+
+  void write(Persist persist) {
+    persist.snapshot().ifPresent(this::replace);
+    persist.hardState().ifPresent(newer -> hardState = newer);
+    persist
+        .entries()
+        .forEach(
+            entry -> {
+              entries.removeIf(old -> old.index() >= entry.index());
+              entries.add(entry);
+            });
+  }
+
+  private void replace(Snapshot newer) {
+    boolean keepsTail =
+        entries.stream().anyMatch(e -> e.index() == newer.index() && e.term() == newer.term());
+    entries.removeIf(entry -> !keepsTail || entry.index() <= newer.index());
+    snapshot = newer;
+  }
+
+  Recovered recover() {
+    return new Recovered(id, hardState, snapshot, entries);
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/ControlException.java
@@ -0,0 +1,12 @@
+package org.endivemux.control;
+
+/** Signals that the control group could not take or answer a request. Immutable. */
+public final class ControlException extends RuntimeException {
+  public ControlException(String message) {
+    super(message);
+  }
+
+  public ControlException(String message, Throwable cause) {
+    super(message, cause);
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -0,0 +1,83 @@
+package org.endivemux.control.message;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Optional;
+import org.endivemux.consensus.Member;
+import org.endivemux.control.state.Answer;
+import org.endivemux.control.state.Claim;
+import org.endivemux.control.state.EntryView;
+import org.endivemux.control.state.Order;
+import org.endivemux.control.state.UsageWindow;
+import org.endivemux.model.EntryInfo;
+import org.endivemux.model.VmId;
+
+/** Describes the answers of a voter. All kinds are immutable and thread-safe. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = ControlReply.NotLeader.class, name = "not"),
+  @JsonSubTypes.Type(value = ControlReply.Answered.class, name = "answer"),
+  @JsonSubTypes.Type(value = ControlReply.News.class, name = "news"),
+  @JsonSubTypes.Type(value = ControlReply.InForce.class, name = "inforce"),
+  @JsonSubTypes.Type(value = ControlReply.ClaimFound.class, name = "claim"),
+  @JsonSubTypes.Type(value = ControlReply.Report.class, name = "report")
+})
+public sealed interface ControlReply {
+  /** Says that another VM may lead. */
+  record NotLeader(Optional<VmId> leader) implements ControlReply {}
+
+  record Answered(Answer answer) implements ControlReply {}
+
+  /**
+   * Proves that the asker's state was fresh when it asked, and brings what is new.
+   *
+   * @param term of the leader; with a new one the entry sends all its usage totals again
+   * @param whole the view, when the changes alone do not suffice
+   * @param entries live entries, when their list has changed
+   */
+  record News(
+      long term,
+      Optional<EntryView.Saved> whole,
+      List<EntryView.Numbered> changes,
+      long entriesNumber,
+      Optional<List<EntryInfo>> entries)
+      implements ControlReply {
+    public News {
+      changes = List.copyOf(changes);
+    }
+  }
+
+  /** Says whether a revision is in force, and at which entries it is not. */
+  record InForce(boolean everywhere, List<VmId> missing) implements ControlReply {
+    public InForce {
+      missing = List.copyOf(missing);
+    }
+  }
+
+  record ClaimFound(Optional<Claim> claim) implements ControlReply {}
+
+  /** Shows the leader's state to operators. */
+  record Report(
+      VmId leader,
+      long term,
+      long commit,
+      long version,
+      long revision,
+      List<Member> members,
+      List<EntryState> entries,
+      int claims,
+      List<UsageWindow> windows,
+      List<Order> orders)
+      implements ControlReply {
+    public Report {
+      members = List.copyOf(members);
+      entries = List.copyOf(entries);
+      windows = List.copyOf(windows);
+      orders = List.copyOf(orders);
+    }
+  }
+
+  /** Shows one live entry and the revision that it has. */
+  record EntryState(EntryInfo entry, long revision) {}
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -0,0 +1,44 @@
+package org.endivemux.control.message;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import org.endivemux.control.state.Command;
+import org.endivemux.model.EntryInfo;
+import org.endivemux.model.IdempotencyKey;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.model.UsageLine;
+
+/** Describes what a VM asks of the control leader. All kinds are immutable and thread-safe. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = ControlRequest.Submit.class, name = "submit"),
+  @JsonSubTypes.Type(value = ControlRequest.Poll.class, name = "poll"),
+  @JsonSubTypes.Type(value = ControlRequest.AwaitInForce.class, name = "await"),
+  @JsonSubTypes.Type(value = ControlRequest.FindClaim.class, name = "find"),
+  @JsonSubTypes.Type(value = ControlRequest.ReadReport.class, name = "report")
+})
+public sealed interface ControlRequest {
+  record Submit(Command command) implements ControlRequest {}
+
+  /**
+   * Asks for what is new and proves that the entry lives.
+   *
+   * @param revision of the view that the entry has
+   * @param entriesNumber of the list of entries that it has
+   * @param usage running totals that grew since the last answered poll
+   */
+  record Poll(EntryInfo entry, long revision, long entriesNumber, List<UsageLine> usage)
+      implements ControlRequest {
+    public Poll {
+      usage = List.copyOf(usage);
+    }
+  }
+
+  /** Waits until a revision is in force at every live entry. */
+  record AwaitInForce(long revision, long limitMillis) implements ControlRequest {}
+
+  record FindClaim(OrganisationId organisation, IdempotencyKey key) implements ControlRequest {}
+
+  record ReadReport() implements ControlRequest {}
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/state/ControlState.java
@@ -0,0 +1,249 @@
+package org.endivemux.control.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.endivemux.control.state.Command.Stamped;
+import org.endivemux.control.state.EntryView.Numbered;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.Bytes;
+import org.endivemux.model.IdempotencyKey;
+import org.endivemux.model.KeyDigest;
+import org.endivemux.model.KeyInfo;
+import org.endivemux.model.KeyRole;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.model.Reason;
+import org.endivemux.wire.MessagePackCodec;
+
+/**
+ * Applies committed commands.
+ *
+ * <p>Deterministic: the same commands give every replica the same state and answers; time comes
+ * only from the commands' stamps and never runs back. Confined to the state machine's thread;
+ * {@link #view} and what it hands out are immutable.
+ */
+public final class ControlState {
+  private static final int CHANGES_KEPT = 4096;
+  private static final long PRUNE_MILLIS = 60_000;
+
+  private final Plans plans = new Plans();
+  private final KeyTable keys = new KeyTable();
+  private final Claims claims = new Claims();
+  private final Usage usage = new Usage();
+  private final Orders orders = new Orders();
+  private final Set<BackendServerId> leaving = new HashSet<>();
+  private final Deque<Numbered> changes = new ArrayDeque<>();
+  private EntryView view = EntryView.empty();
+  private long changesFrom;
+  private long nowMillis;
+  private long prunedAtMillis;
+
+  /** Applies the command at a log index and returns its answer. */
+  public Answer apply(long index, Stamped stamped) {
+    nowMillis = Math.max(nowMillis, stamped.atMillis());
+    if (nowMillis - prunedAtMillis > PRUNE_MILLIS) {
+      claims.forgetOld(nowMillis);
+      prunedAtMillis = nowMillis;
+    }
+    return apply(index, stamped.command());
+  }
+
+  private Answer apply(long index, Command command) {
+    if (command instanceof Command.OpenClaim it) {
+      return claims.open(it, nowMillis);
+    } else if (command instanceof Command.FinishClaim it) {
+      return claims.finish(it);
+    } else if (command instanceof Command.ReleaseClaim it) {
+      return claims.release(it);
+    } else if (command instanceof Command.LoseClaim it) {
+      return claims.lose(it);
+    } else if (command instanceof Command.AbandonClaims it) {
+      return claims.abandon(it);
+    } else if (command instanceof Command.ProposePlan it) {
+      return plans.propose(it);
+    } else if (command instanceof Command.ConfirmPlan it) {
+      return confirm(index, it);
+    } else if (command instanceof Command.CreateKey it) {
+      return createKey(index, it);
+    } else if (command instanceof Command.WithdrawKey it) {
+      return withdrawKey(index, it);
+    } else if (command instanceof Command.SetLeaving it) {
+      return setLeaving(index, it);
+    }
+    return applyDuty(command);
+  }
+
+  private Answer applyDuty(Command command) {
+    if (command instanceof Command.RecordUsage it) {
+      return usage.record(it, nowMillis);
+    } else if (command instanceof Command.CloseWindow it) {
+      return usage.close(it, nowMillis);
+    } else if (command instanceof Command.MarkReported it) {
+      return usage.markReported(it);
+    } else if (command instanceof Command.OpenOrder it) {
+      return orders.open(it);
+    }
+    return orders.close((Command.CloseOrder) command);
+  }
+
+  private Answer confirm(long index, Command.ConfirmPlan command) {
+    long before = plans.version();
+    Answer answer = plans.confirm(command, index);
+    if (plans.version() != before) {
+      publish(index, new ViewChange.Configured(plans.version(), plans.declaration()));
+    }
+    return answer;
+  }
+
+  private Answer createKey(long index, Command.CreateKey command) {
+    boolean needsOrganisation = command.role() == KeyRole.CALLER;
+    boolean declared = plans.declaration().organisation(command.organisation()).isPresent();
+    if (needsOrganisation && !declared) {
+      return new Answer.Refused(
+          Reason.KEY_UNKNOWN,
+          "Organisation " + command.organisation() + " is not declared; declare it first.");
+    }
+    Answer answer = keys.create(command);
+    if (answer instanceof Answer.Done) {
+      publishKey(index, command.digest());
+    }
+    return answer;
+  }
+
+  private Answer withdrawKey(long index, Command.WithdrawKey command) {
+    KeyTable.Withdrawal withdrawal = keys.withdraw(command);
+    withdrawal.digest().ifPresent(digest -> publishKey(index, digest));
+    return withdrawal.answer();
+  }
+
+  private void publishKey(long index, KeyDigest digest) {
+    KeyInfo info = keys.all().get(digest);
+    if (!view.key(digest).equals(Optional.of(info))) {
+      publish(index, new ViewChange.KeyChanged(digest, info));
+    }
+  }
+
+  private Answer setLeaving(long index, Command.SetLeaving command) {
+    command.backendServers().stream()
+        .filter(id -> command.leaving() ? leaving.add(id) : leaving.remove(id))
+        .forEach(id -> publish(index, new ViewChange.LeavingChanged(id, command.leaving())));
+    return new Answer.Done();
+  }
+
+  private void publish(long index, ViewChange change) {
+    view = view.apply(index, change);
+    changes.addLast(new Numbered(index, change));
+    while (changes.size() > CHANGES_KEPT) {
+      changesFrom = changes.removeFirst().revision();
+    }
+  }
+
+  /** Returns what entries see. */
+  public EntryView view() {
+    return view;
+  }
+
+  /** Returns the changes after a revision, or empty when they are no longer kept. */
+  public Optional<List<Numbered>> changesSince(long revision) {
+    return revision < changesFrom || revision > view.revision()
+        ? Optional.empty()
+        : Optional.of(changes.stream().filter(c -> c.revision() > revision).toList());
+  }
+
+  /** Returns the claim on a call. */
+  public Optional<Claim> claim(OrganisationId organisation, IdempotencyKey key) {
+    return claims.find(organisation, key);
+  }
+
+  /** Returns the number of claims that are kept. */
+  public int claimCount() {
+    return claims.size();
+  }
+
+  /** Returns the number of the open usage window. */
+  public long openWindow() {
+    return usage.openWindow();
+  }
+
+  /** Returns closed windows, oldest first. */
+  public List<UsageWindow> windows() {
+    return usage.windows();
+  }
+
+  /** Returns the oldest closed window that is not reported yet. */
+  public Optional<UsageWindow> firstUnreported() {
+    return usage.firstUnreported();
+  }
+
+  /** Returns all orders, oldest first. */
+  public List<Order> orders() {
+    return orders.all();
+  }
+
+  /** Returns the whole state as bytes. */
+  public Bytes save() {
+    Saved saved =
+        new Saved(
+            nowMillis,
+            view.revision(),
+            plans.save(),
+            Map.copyOf(keys.all()),
+            claims.all(),
+            usage.save(),
+            orders.all(),
+            List.copyOf(leaving));
+    return Bytes.of(MessagePackCodec.encode(saved));
+  }
+
+  /** Replaces the whole state; no bytes mean the state before any command. */
+  public void restore(Bytes bytes) {
+    Saved saved =
+        bytes.size() == 0 ? Saved.blank() : MessagePackCodec.decode(bytes.toArray(), Saved.class);
+    nowMillis = saved.nowMillis();
+    plans.restore(saved.plans());
+    keys.restore(saved.keys());
+    claims.restore(saved.claims());
+    usage.restore(saved.usage());
+    orders.restore(saved.orders());
+    leaving.clear();
+    leaving.addAll(saved.leaving());
+    changes.clear();
+    changesFrom = saved.revision();
+    view =
+        EntryView.of(
+            new EntryView.Saved(
+                saved.revision(),
+                plans.version(),
+                plans.declaration(),
+                keys.all(),
+                new HashSet<>(leaving)));
+  }
+
+  /** Holds the whole state for a snapshot. Immutable and thread-safe. */
+  private record Saved(
+      long nowMillis,
+      long revision,
+      Plans.Saved plans,
+      Map<KeyDigest, KeyInfo> keys,
+      List<Claim> claims,
+      Usage.Saved usage,
+      List<Order> orders,
+      List<BackendServerId> leaving) {
+    static Saved blank() {
+      return new Saved(
+          0,
+          0,
+          Plans.Saved.blank(),
+          Map.of(),
+          List.of(),
+          Usage.Saved.blank(),
+          List.of(),
+          new ArrayList<>());
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/state/EntryView.java
@@ -0,0 +1,122 @@
+package org.endivemux.control.state;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.Declaration;
+import org.endivemux.model.KeyDigest;
+import org.endivemux.model.KeyInfo;
+
+/**
+ * Holds the part of the replicated state that entries decide by.
+ *
+ * <p>Invariant: the revision is the log index of the last change that it holds. Immutable and
+ * thread-safe; a change shares all that it leaves alone.
+ */
+public final class EntryView {
+  private final long revision;
+  private final long version;
+  private final Declaration declaration;
+  private final HashMap<KeyDigest, KeyInfo> keys;
+  private final HashSet<BackendServerId> leaving;
+
+  private EntryView(
+      long revision,
+      long version,
+      Declaration declaration,
+      HashMap<KeyDigest, KeyInfo> keys,
+      HashSet<BackendServerId> leaving) {
+    this.revision = revision;
+    this.version = version;
+    this.declaration = declaration;
+    this.keys = keys;
+    this.leaving = leaving;
+  }
+
+  /** Returns the view before any change. */
+  public static EntryView empty() {
+    return new EntryView(0, 0, Declaration.empty(), HashMap.empty(), HashSet.empty());
+  }
+
+  /** Returns the view that was saved. */
+  public static EntryView of(Saved saved) {
+    return new EntryView(
+        saved.revision(),
+        saved.version(),
+        saved.declaration(),
+        HashMap.ofAll(saved.keys()),
+        HashSet.ofAll(saved.leaving()));
+  }
+
+  /** Returns the view after a change at a revision. */
+  public EntryView apply(long newRevision, ViewChange change) {
+    if (change instanceof ViewChange.Configured it) {
+      return new EntryView(newRevision, it.version(), it.declaration(), keys, leaving);
+    }
+    if (change instanceof ViewChange.KeyChanged it) {
+      var changed = keys.put(it.digest(), it.info());
+      return new EntryView(newRevision, version, declaration, changed, leaving);
+    }
+    ViewChange.LeavingChanged it = (ViewChange.LeavingChanged) change;
+    var changed =
+        it.leaving() ? leaving.add(it.backendServer()) : leaving.remove(it.backendServer());
+    return new EntryView(newRevision, version, declaration, keys, changed);
+  }
+
+  public long revision() {
+    return revision;
+  }
+
+  /** Returns the version of the configuration. */
+  public long version() {
+    return version;
+  }
+
+  public Declaration declaration() {
+    return declaration;
+  }
+
+  /** Returns what is known of a key. */
+  public Optional<KeyInfo> key(KeyDigest digest) {
+    return keys.get(digest).toJavaOptional();
+  }
+
+  /** Returns all keys by digest. */
+  public Map<KeyDigest, KeyInfo> keys() {
+    return keys.toJavaMap();
+  }
+
+  /** Returns whether a backend server gets no new work. */
+  public boolean isLeaving(BackendServerId id) {
+    return leaving.contains(id);
+  }
+
+  /** Returns the content for the wire and for snapshots. */
+  public Saved save() {
+    return new Saved(revision, version, declaration, keys.toJavaMap(), leaving.toJavaSet());
+  }
+
+  /** Holds a whole view for the wire. Immutable and thread-safe. */
+  public record Saved(
+      long revision,
+      long version,
+      Declaration declaration,
+      Map<KeyDigest, KeyInfo> keys,
+      Set<BackendServerId> leaving) {}
+
+  /** Holds one change with its revision. Immutable and thread-safe. */
+  public record Numbered(long revision, ViewChange change) {}
+
+  /** Returns the view after numbered changes in order. */
+  public EntryView applyAll(List<Numbered> changes) {
+    EntryView view = this;
+    for (Numbered numbered : changes) {
+      view = view.apply(numbered.revision(), numbered.change());
+    }
+    return view;
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/state/Order.java
@@ -0,0 +1,6 @@
+package org.endivemux.control.state;
+
+import org.endivemux.control.state.Command.OpenOrder;
+
+/** Holds one order to the platform. Immutable and thread-safe. */
+public record Order(OpenOrder intent, OrderState state, String detail) {}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/state/Orders.java
@@ -0,0 +1,56 @@
+package org.endivemux.control.state;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.endivemux.control.state.Command.CloseOrder;
+import org.endivemux.control.state.Command.OpenOrder;
+import org.endivemux.model.OrderId;
+import org.endivemux.statechart.StateChart;
+
+/**
+ * Keeps orders to the platform as intents and their outcomes.
+ *
+ * <p>Invariant: an order's content never changes, and its first outcome stays. Confined to the
+ * state machine's thread.
+ */
+final class Orders {
+  private static final int KEPT = 1000;
+  private static final StateChart<OrderState, OrderEvent> CHART =
+      StateChart.load("order.yaml", OrderState.class, OrderEvent.class);
+
+  private final Map<OrderId, Order> orders = new LinkedHashMap<>();
+
+  Answer open(OpenOrder command) {
+    orders.putIfAbsent(command.order(), new Order(command, CHART.initial(), ""));
+    List<OrderId> surplus =
+        orders.values().stream()
+            .filter(order -> order.state() != OrderState.INTENDED)
+            .limit(Math.max(0, orders.size() - KEPT))
+            .map(order -> order.intent().order())
+            .toList();
+    surplus.forEach(orders::remove);
+    return new Answer.Done();
+  }
+
+  Answer close(CloseOrder command) {
+    OrderEvent event = command.accepted() ? OrderEvent.ACCEPTED : OrderEvent.REFUSED;
+    orders.computeIfPresent(
+        command.order(),
+        (id, order) ->
+            CHART
+                .next(order.state(), event)
+                .map(state -> new Order(order.intent(), state, command.detail()))
+                .orElse(order));
+    return new Answer.Done();
+  }
+
+  List<Order> all() {
+    return List.copyOf(orders.values());
+  }
+
+  void restore(List<Order> saved) {
+    orders.clear();
+    saved.forEach(order -> orders.put(order.intent().order(), order));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/state/Plans.java
@@ -0,0 +1,136 @@
+package org.endivemux.control.state;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.endivemux.control.state.Command.ConfirmPlan;
+import org.endivemux.control.state.Command.ProposePlan;
+import org.endivemux.model.Declaration;
+import org.endivemux.model.DeclarationCheck;
+import org.endivemux.model.PlanId;
+import org.endivemux.model.Reason;
+
+/**
+ * Keeps plans and the configuration in force.
+ *
+ * <p>Invariants: the version only grows, by one for each confirmed plan; a plan's content never
+ * changes; a confirmed plan keeps its first answer. Confined to the state machine's thread.
+ */
+final class Plans {
+  private static final int KEPT = 1000;
+
+  private final Map<PlanId, Plan> plans = new LinkedHashMap<>();
+  private long version;
+  private String lastBy = "nobody";
+  private Declaration declaration = Declaration.empty();
+
+  Answer propose(ProposePlan command) {
+    Plan known = plans.get(command.plan());
+    if (known != null) {
+      return known.hasContentOf(command)
+          ? known.planned()
+          : new Answer.Refused(
+              Reason.PLAN_REUSED,
+              "Plan " + command.plan() + " was made by " + known.by() + " with other content.");
+    }
+    List<String> errors = DeclarationCheck.errors(command.declaration());
+    if (!errors.isEmpty()) {
+      return new Answer.Refused(Reason.INVALID_PLAN, String.join(" ", errors));
+    }
+    Plan made = make(command);
+    plans.put(command.plan(), made);
+    forgetOldest();
+    return made.planned();
+  }
+
+  private Plan make(ProposePlan command) {
+    Declaration proposed = command.declaration();
+    Answer.Planned planned =
+        new Answer.Planned(
+            command.plan(),
+            command.base().orElse(version),
+            PlanDifference.lines(declaration, proposed),
+            PlanCost.perHour(proposed),
+            PlanCost.risks(proposed));
+    return new Plan(proposed, command.base(), command.by(), planned, Optional.empty());
+  }
+
+  private void forgetOldest() {
+    List<PlanId> surplus = plans.keySet().stream().limit(Math.max(0, plans.size() - KEPT)).toList();
+    surplus.forEach(plans::remove);
+  }
+
+  Answer confirm(ConfirmPlan command, long revision) {
+    Plan plan = plans.get(command.plan());
+    if (plan == null) {
+      return new Answer.Refused(Reason.PLAN_UNKNOWN, "Plan " + command.plan() + " is not known.");
+    }
+    if (plan.confirmed().isPresent()) {
+      return plan.confirmed().get();
+    }
+    if (plan.planned().base() != version) {
+      return new Answer.Refused(
+          Reason.PLAN_CONFLICT,
+          "Plan "
+              + command.plan()
+              + " is based on version "
+              + plan.planned().base()
+              + ", but "
+              + lastBy
+              + " has confirmed version "
+              + version
+              + "; plan again.");
+    }
+    version++;
+    lastBy = command.by();
+    declaration = plan.declaration();
+    Answer.Confirmed confirmed =
+        new Answer.Confirmed(command.plan(), version, revision, command.by());
+    plans.put(command.plan(), plan.confirm(confirmed));
+    return confirmed;
+  }
+
+  long version() {
+    return version;
+  }
+
+  Declaration declaration() {
+    return declaration;
+  }
+
+  Saved save() {
+    return new Saved(version, lastBy, declaration, plans.values().stream().toList());
+  }
+
+  void restore(Saved saved) {
+    version = saved.version();
+    lastBy = saved.lastBy();
+    declaration = saved.declaration();
+    plans.clear();
+    saved.plans().forEach(plan -> plans.put(plan.planned().plan(), plan));
+  }
+
+  /** Holds one plan. Immutable and thread-safe. */
+  record Plan(
+      Declaration declaration,
+      Optional<Long> base,
+      String by,
+      Answer.Planned planned,
+      Optional<Answer.Confirmed> confirmed) {
+    boolean hasContentOf(ProposePlan command) {
+      return declaration.equals(command.declaration()) && base.equals(command.base());
+    }
+
+    Plan confirm(Answer.Confirmed answer) {
+      return new Plan(declaration, base, by, planned, Optional.of(answer));
+    }
+  }
+
+  /** Holds the content for a snapshot. Immutable and thread-safe. */
+  record Saved(long version, String lastBy, Declaration declaration, List<Plan> plans) {
+    static Saved blank() {
+      return new Saved(0, "nobody", Declaration.empty(), List.of());
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/state/ViewChange.java
@@ -0,0 +1,23 @@
+package org.endivemux.control.state;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.Declaration;
+import org.endivemux.model.KeyDigest;
+import org.endivemux.model.KeyInfo;
+
+/** Describes one change of what entries see. All kinds are immutable and thread-safe. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = ViewChange.Configured.class, name = "c"),
+  @JsonSubTypes.Type(value = ViewChange.KeyChanged.class, name = "k"),
+  @JsonSubTypes.Type(value = ViewChange.LeavingChanged.class, name = "l")
+})
+public sealed interface ViewChange {
+  record Configured(long version, Declaration declaration) implements ViewChange {}
+
+  record KeyChanged(KeyDigest digest, KeyInfo info) implements ViewChange {}
+
+  record LeavingChanged(BackendServerId backendServer, boolean leaving) implements ViewChange {}
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -0,0 +1,174 @@
+package org.endivemux.control.voter;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.endivemux.consensus.ConsensusCore.Status;
+import org.endivemux.control.message.ControlReply;
+import org.endivemux.control.message.ControlRequest;
+import org.endivemux.control.state.Claim;
+import org.endivemux.control.state.Command;
+import org.endivemux.control.state.ControlState;
+import org.endivemux.control.state.EntryView.Numbered;
+import org.endivemux.model.EntryInfo;
+import org.endivemux.model.Incarnation;
+import org.endivemux.model.VmId;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * Answers control requests on a voter.
+ *
+ * <p>Invariant: every answer that proves freshness or shows state is given only while this voter
+ * holds the leader's lease, checked after the state was read. Thread-safe.
+ */
+public final class ControlService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** How long a poll waits for something new. */
+  private static final Duration POLL_HOLD = Duration.ofMillis(400);
+
+  private static final Duration IN_FORCE_CHECK = Duration.ofMillis(20);
+
+  private final VmId self;
+  private final Voter voter;
+  private final EntryRegistry registry;
+  private final UsageInbox usage;
+  private final Clocks clocks;
+  private final Sinks.Many<Boolean> news = Sinks.many().multicast().directBestEffort();
+
+  public ControlService(
+      VmId self, Voter voter, EntryRegistry registry, UsageInbox usage, Clocks clocks) {
+    this.self = self;
+    this.voter = voter;
+    this.registry = registry;
+    this.usage = usage;
+    this.clocks = clocks;
+    voter.onViewChanged(this::announce);
+  }
+
+  private void announce() {
+    news.emitNext(true, (signal, result) -> result == Sinks.EmitResult.FAIL_NON_SERIALIZED);
+  }
+
+  /** Answers one request. */
+  public Mono<ControlReply> handle(ControlRequest request) {
+    if (!voter.holdsLease()) {
+      return Mono.just(notLeader());
+    }
+    registry.leads(voter.status().term(), clocks.nanos());
+    if (request instanceof ControlRequest.Submit it) {
+      return submit(it.command());
+    } else if (request instanceof ControlRequest.Poll it) {
+      return poll(it);
+    } else if (request instanceof ControlRequest.AwaitInForce it) {
+      return awaitInForce(it);
+    } else if (request instanceof ControlRequest.FindClaim it) {
+      return read(state -> new ControlReply.ClaimFound(findClaim(state, it)));
+    }
+    return read(this::report);
+  }
+
+  private static Optional<Claim> findClaim(ControlState state, ControlRequest.FindClaim request) {
+    return state.claim(request.organisation(), request.key());
+  }
+
+  private ControlReply notLeader() {
+    return new ControlReply.NotLeader(voter.status().leader().filter(vm -> !vm.equals(self)));
+  }
+
+  private Mono<ControlReply> submit(Command command) {
+    return mono(() -> voter.submit(command)).map(ControlReply.Answered::new);
+  }
+
+  private Mono<ControlReply> read(java.util.function.Function<ControlState, ControlReply> query) {
+    return mono(() -> voter.read(query)).map(this::whileLeading);
+  }
+
+  private static <T> Mono<T> mono(Supplier<CompletableFuture<T>> future) {
+    return Mono.fromFuture(future, true);
+  }
+
+  private ControlReply whileLeading(ControlReply reply) {
+    return voter.holdsLease() ? reply : notLeader();
+  }
+
+  private Mono<ControlReply> poll(ControlRequest.Poll poll) {
+    Optional<Incarnation> replaced = registry.polled(poll.entry(), poll.revision(), clocks.nanos());
+    replaced.ifPresent(gone -> abandon(poll.entry().vm(), gone));
+    usage.add(poll.entry(), poll.usage());
+    boolean knowsAll =
+        poll.revision() >= voter.publishedRevision() && poll.entriesNumber() == registry.number();
+    Mono<ControlReply> answer = read(state -> news(state, poll));
+    return knowsAll
+        ? news.asFlux().next().timeout(POLL_HOLD, Mono.just(true)).then(answer)
+        : answer;
+  }
+
+  private ControlReply news(ControlState state, ControlRequest.Poll poll) {
+    Optional<List<Numbered>> changes = state.changesSince(poll.revision());
+    boolean sameEntries = poll.entriesNumber() == registry.number();
+    return new ControlReply.News(
+        voter.status().term(),
+        changes.isPresent() ? Optional.empty() : Optional.of(state.view().save()),
+        changes.orElse(List.of()),
+        registry.number(),
+        sameEntries ? Optional.empty() : Optional.of(registry.entries()));
+  }
+
+  /** Removes silent entries; wants a call every second or so. */
+  public void removeSilentEntries() {
+    List<EntryInfo> silent = registry.removeSilent(clocks.nanos());
+    silent.forEach(entry -> logger.atWarning().log("event=entry_silent vm=%s", entry.vm()));
+    silent.forEach(entry -> abandon(entry.vm(), entry.incarnation()));
+    if (!silent.isEmpty()) {
+      announce();
+    }
+  }
+
+  private void abandon(VmId vm, Incarnation gone) {
+    logger.atInfo().log("event=claims_abandoned vm=%s incarnation=%s", vm, gone);
+    var unused =
+        voter
+            .submit(new Command.AbandonClaims(vm, gone))
+            .exceptionally(
+                error -> {
+                  logger.atWarning().log("event=abandon_failed vm=%s cause=%s", vm, error);
+                  return null;
+                });
+  }
+
+  private Mono<ControlReply> awaitInForce(ControlRequest.AwaitInForce request) {
+    return Flux.interval(Duration.ZERO, IN_FORCE_CHECK)
+        .onBackpressureDrop()
+        .map(tick -> isInForce(request.revision()))
+        .filter(inForce -> inForce)
+        .next()
+        .timeout(Duration.ofMillis(request.limitMillis()), Mono.just(false))
+        .map(inForce -> new ControlReply.InForce(inForce, registry.missing(request.revision())))
+        .map(this::whileLeading);
+  }
+
+  private boolean isInForce(long revision) {
+    return registry.knowsAll(clocks.nanos()) && registry.missing(revision).isEmpty();
+  }
+
+  private ControlReply report(ControlState state) {
+    Status status = voter.status();
+    return new ControlReply.Report(
+        self,
+        status.term(),
+        status.commit(),
+        state.view().version(),
+        state.view().revision(),
+        status.membership().members(),
+        registry.states(),
+        state.claimCount(),
+        state.windows(),
+        state.orders());
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/voter/DiskWriter.java
@@ -0,0 +1,88 @@
+package org.endivemux.control.voter;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import org.endivemux.consensus.ConsensusCore.Position;
+import org.endivemux.consensus.Effects;
+import org.endivemux.consensus.Effects.Persist;
+import org.endivemux.consensus.Envelope;
+import org.endivemux.storage.DataFolder;
+
+/**
+ * Syncs what the core wants kept, on a thread of its own, in groups.
+ *
+ * <p>Invariants: messages that depend on a sync leave after it, in order; a failed sync is never
+ * retried but ends the process through {@code fatal}. Thread-safe.
+ */
+final class DiskWriter implements Runnable {
+  private final DataFolder folder;
+  private final Consumer<Envelope> sender;
+  private final Consumer<Position> synced;
+  private final Consumer<Throwable> fatal;
+  private final Timer syncTime;
+  private final Histogram groupSize;
+  private final BlockingQueue<Effects> queue = new LinkedBlockingQueue<>();
+
+  DiskWriter(
+      DataFolder folder,
+      Consumer<Envelope> sender,
+      Consumer<Position> synced,
+      Consumer<Throwable> fatal,
+      MetricRegistry metrics) {
+    this.folder = folder;
+    this.sender = sender;
+    this.synced = synced;
+    this.fatal = fatal;
+    this.syncTime = metrics.timer("control.sync");
+    this.groupSize = metrics.histogram("control.syncGroup");
+  }
+
+  void write(Effects effects) {
+    queue.add(effects);
+  }
+
+  @Override
+  public void run() {
+    try {
+      while (!Thread.currentThread().isInterrupted()) {
+        List<Effects> group = new ArrayList<>();
+        group.add(queue.take());
+        queue.drainTo(group);
+        sync(group);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException e) {
+      fatal.accept(e);
+    }
+  }
+
+  private void sync(List<Effects> group) {
+    List<Persist> steps = group.stream().flatMap(effects -> effects.persist().stream()).toList();
+    if (!steps.isEmpty()) {
+      groupSize.update(steps.size());
+      syncTime.time(() -> folder.write(steps));
+    }
+    group.stream().flatMap(effects -> effects.afterPersist().stream()).forEach(sender);
+    steps.stream()
+        .flatMap(step -> lastPosition(step).stream())
+        .reduce((earlier, later) -> later)
+        .ifPresent(synced);
+  }
+
+  private static Optional<Position> lastPosition(Persist step) {
+    Optional<Position> ofEntries =
+        step.entries().stream()
+            .reduce((earlier, later) -> later)
+            .map(entry -> new Position(entry.index(), entry.term()));
+    return ofEntries.or(
+        () -> step.snapshot().map(snapshot -> new Position(snapshot.index(), snapshot.term())));
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformClient.java
@@ -0,0 +1,148 @@
+package org.endivemux.control.voter;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.util.ReferenceCountUtil;
+import java.time.Duration;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.endivemux.control.ControlException;
+import org.endivemux.control.state.Order;
+import org.endivemux.control.state.UsageWindow;
+import org.endivemux.model.BackendServerId;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufFlux;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/**
+ * Sends orders and usage reports to the platform.
+ *
+ * <p>Invariants: the lease is checked again by the last handler before the socket, so that a frozen
+ * process that wakes up with work in hand sends nothing; every call has a limit; nothing is sent
+ * twice by the client itself. Thread-safe.
+ */
+public final class PlatformClient {
+  /** Longest time that an order can be on its way. */
+  public static final Duration LIMIT = Duration.ofSeconds(2);
+
+  private static final ObjectMapper JSON =
+      new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+  private static final int CONNECT_MILLIS = 500;
+  private static final int OK = 200;
+  private static final int FIRST_CLIENT_ERROR = 400;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final HttpClient client;
+
+  public PlatformClient(String address, BooleanSupplier holdsLease) {
+    this.client =
+        HttpClient.create(ConnectionProvider.newConnection())
+            .baseUrl("http://" + address)
+            .disableRetry(true)
+            .followRedirect(false)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+            .responseTimeout(LIMIT)
+            .doOnConnected(
+                connection ->
+                    connection
+                        .channel()
+                        .pipeline()
+                        .addFirst("leaseGate", new LeaseGate(holdsLease)));
+  }
+
+  /** Sends an order under a fencing number and returns the platform's word on it. */
+  public Mono<Reply> order(Order order, long fencing) {
+    return post(
+        "/orders", new OrderMessage(order.intent().order().value(), fencing, order.intent()));
+  }
+
+  /** Reports a window; every resend carries the same figures. */
+  public Mono<Reply> report(UsageWindow window, long fencing) {
+    return post("/usage", new UsageMessage(window.number(), fencing, window.lines()));
+  }
+
+  /** Reads the platform's list, which lags. */
+  public Mono<Listing> list() {
+    return client
+        .get()
+        .uri("/servers")
+        .responseSingle((response, body) -> body.asString())
+        .timeout(LIMIT)
+        .map(PlatformClient::listing);
+  }
+
+  private static Listing listing(String text) {
+    try {
+      return JSON.readValue(text, Listing.class);
+    } catch (JsonProcessingException e) {
+      throw new ControlException("The platform's list can not be read.", e);
+    }
+  }
+
+  private Mono<Reply> post(String path, Object message) {
+    return client
+        .headers(
+            headers -> headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON))
+        .post()
+        .uri(path)
+        .send(ByteBufFlux.fromString(Mono.fromCallable(() -> JSON.writeValueAsString(message))))
+        .responseSingle(
+            (response, body) ->
+                body.asString().defaultIfEmpty("").map(text -> reply(response, text)))
+        .timeout(LIMIT);
+  }
+
+  private static Reply reply(HttpClientResponse response, String text) {
+    int status = response.status().code();
+    boolean isFinal = status == OK || (status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR);
+    return new Reply(status == OK, isFinal, text);
+  }
+
+  /** Tells what the platform said; only a final word may be recorded. Immutable. */
+  public record Reply(boolean accepted, boolean isFinal, String text) {}
+
+  private record OrderMessage(
+      String order, long fencing, org.endivemux.control.state.Command.OpenOrder intent) {}
+
+  private record UsageMessage(
+      long window, long fencing, List<org.endivemux.model.UsageLine> lines) {}
+
+  /** Holds the platform's list of backend servers. Immutable and thread-safe. */
+  public record Listing(List<Listed> servers) {
+    public Listing {
+      servers = servers == null ? List.of() : List.copyOf(servers);
+    }
+  }
+
+  /** Holds one listed backend server. Immutable and thread-safe. */
+  public record Listed(BackendServerId id, boolean leaving) {}
+
+  private static final class LeaseGate extends ChannelOutboundHandlerAdapter {
+    private final BooleanSupplier holdsLease;
+
+    LeaseGate(BooleanSupplier holdsLease) {
+      this.holdsLease = holdsLease;
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      if (holdsLease.getAsBoolean()) {
+        var unusedWrite = context.write(message, promise);
+        return;
+      }
+      ReferenceCountUtil.release(message);
+      var unusedPromise =
+          promise.setFailure(new ControlException("The lease ended before the order was sent."));
+      var unusedClose = context.close();
+    }
+  }
+}
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -0,0 +1,323 @@
+package org.endivemux.control.voter;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.endivemux.consensus.ConsensusCore;
+import org.endivemux.consensus.ConsensusCore.Position;
+import org.endivemux.consensus.ConsensusCore.Proposal;
+import org.endivemux.consensus.ConsensusCore.Status;
+import org.endivemux.consensus.Effects;
+import org.endivemux.consensus.Envelope;
+import org.endivemux.consensus.LogEntry;
+import org.endivemux.consensus.Recovered;
+import org.endivemux.consensus.Role;
+import org.endivemux.consensus.Snapshot;
+import org.endivemux.consensus.Timing;
+import org.endivemux.control.ControlException;
+import org.endivemux.control.state.Answer;
+import org.endivemux.control.state.Command;
+import org.endivemux.control.state.ControlState;
+import org.endivemux.model.Bytes;
+import org.endivemux.model.VmId;
+import org.endivemux.storage.DataFolder;
+import org.endivemux.wire.MessagePackCodec;
+
+/**
+ * Drives one member of the replicated log and the state that it carries.
+ *
+ * <p>Invariants: the core and the state are touched by one thread only; syncs run on another; a
+ * command is answered only once it is committed and applied. Thread-safe.
+ */
+public final class Voter implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long TICK_MILLIS = 20;
+  private static final int COMPACT_ENTRIES = 4000;
+  private static final long COMPACT_BYTES = 16L << 20;
+  private static final int MAX_GROUP = 1000;
+
+  private final ConsensusCore core;
+  private final Clocks clocks;
+  private final SuspensionGuard guard;
+  private final Consumer<Envelope> sender;
+  private final DiskWriter disk;
+  private final Consumer<Throwable> fatal;
+  private final ControlState state = new ControlState();
+  private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
+  private final List<Submission> submissions = new ArrayList<>();
+  private final Map<Long, Pending> pending = new TreeMap<>();
+  private final List<Runnable> viewListeners = new ArrayList<>();
+  private final Thread coreThread;
+  private final Thread diskThread;
+  private volatile Status status;
+  private volatile boolean distrusted;
+  private volatile long publishedRevision;
+  private long appliedIndex;
+  private long compactedIndex;
+  private long bytesSinceCompaction;
+  private Role loggedRole = Role.UNFORMED;
+
+  public Voter(
+      VmId self,
+      Set<VmId> named,
+      DataFolder folder,
+      Timing timing,
+      Clocks clocks,
+      Consumer<Envelope> sender,
+      Consumer<Throwable> fatal,
+      MetricRegistry metrics) {
+    Recovered recovered = folder.recovered();
+    this.clocks = clocks;
+    this.guard = clocks.guard();
+    this.sender = sender;
+    this.fatal = fatal;
+    this.core = new ConsensusCore(self, named, recovered, timing, clocks.nanos());
+    this.disk =
+        new DiskWriter(folder, sender, at -> enqueue(() -> handle(persisted(at))), fatal, metrics);
+    restore(recovered.snapshot());
+    this.status = core.status(clocks.nanos());
+    this.coreThread = new Thread(this::run, "control-core");
+    this.diskThread = new Thread(disk, "control-disk");
+    metrics.register("control.term", (Gauge<Long>) () -> status.term());
+    metrics.register("control.commit", (Gauge<Long>) () -> status.commit());
+    metrics.register("control.leads", (Gauge<Integer>) () -> holdsLease() ? 1 : 0);
+  }
+
+  private Effects persisted(Position position) {
+    return core.persisted(position.term(), position.index());
+  }
+
+  private void restore(Snapshot snapshot) {
+    state.restore(snapshot.state());
+    appliedIndex = snapshot.index();
+    compactedIndex = snapshot.index();
+  }
+
+  /** Starts the threads. */
+  public Voter start() {
+    coreThread.start();
+    diskThread.start();
+    return this;
+  }
+
+  /** Takes a message of another member. */
+  public void receive(Envelope envelope) {
+    enqueue(() -> handle(core.receive(envelope, clocks.nanos())));
+  }
+
+  /**
+   * Proposes a command.
+   *
+   * @return its answer once it is committed; fails with {@link ControlException} when this member
+   *     does not lead or the entry was lost, and may never complete when the lead is lost
+   */
+  public CompletableFuture<Answer> submit(Command command) {
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    byte[] bytes = MessagePackCodec.encode(new Command.Stamped(clocks.millis(), command));
+    enqueue(() -> submissions.add(new Submission(Bytes.of(bytes), answer)));
+    return answer;
+  }
+
+  /** Runs a read on the state's thread. */
+  public <T> CompletableFuture<T> read(Function<ControlState, T> query) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    enqueue(() -> complete(result, query));
+    return result;
+  }
+
+  private <T> void complete(CompletableFuture<T> result, Function<ControlState, T> query) {
+    try {
+      result.complete(query.apply(state));
+    } catch (RuntimeException e) {
+      result.completeExceptionally(e);
+    }
+  }
+
+  /** Calls back on the state's thread whenever entries must see something new. */
+  public void onViewChanged(Runnable listener) {
+    enqueue(() -> viewListeners.add(listener));
+  }
+
+  /** Returns the latest status. */
+  public Status status() {
+    return status;
+  }
+
+  /** Returns the revision of the latest view. */
+  public long publishedRevision() {
+    return publishedRevision;
+  }
+
+  /** Returns whether this member may decide and order at this instant. */
+  public boolean holdsLease() {
+    if (guard.ranAhead()) {
+      distrust();
+    }
+    return !distrusted && status.holdsLease(clocks.nanos());
+  }
+
+  private void distrust() {
+    distrusted = true;
+    logger.atWarning().log("event=clock_distrusted");
+    enqueue(
+        () -> {
+          handle(core.distrustClock());
+          distrusted = false;
+        });
+  }
+
+  private void enqueue(Runnable input) {
+    inbox.add(input);
+  }
+
+  private void run() {
+    long nextTick = clocks.nanos();
+    try {
+      while (!Thread.currentThread().isInterrupted()) {
+        long wait = Math.max(0, nextTick - clocks.nanos());
+        Runnable first = inbox.poll(wait, TimeUnit.NANOSECONDS);
+        if (first != null) {
+          runGroup(first);
+        }
+        if (clocks.nanos() - nextTick >= 0) {
+          tick();
+          nextTick = clocks.nanos() + Duration.ofMillis(TICK_MILLIS).toNanos();
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (RuntimeException e) {
+      fatal.accept(e);
+    }
+  }
+
+  private void runGroup(Runnable first) {
+    List<Runnable> group = new ArrayList<>();
+    group.add(first);
+    inbox.drainTo(group, MAX_GROUP);
+    group.forEach(Runnable::run);
+    proposeSubmissions();
+  }
+
+  private void tick() {
+    if (guard.ranAhead()) {
+      distrust();
+    }
+    handle(core.tick(clocks.nanos()));
+    compactWhenLong();
+  }
+
+  private void proposeSubmissions() {
+    if (submissions.isEmpty()) {
+      return;
+    }
+    List<Submission> group = List.copyOf(submissions);
+    submissions.clear();
+    List<Bytes> commands = group.stream().map(Submission::command).toList();
+    Proposal proposal = core.propose(commands, clocks.nanos());
+    if (proposal.first().isEmpty()) {
+      group.forEach(
+          item ->
+              item.answer().completeExceptionally(new ControlException("This VM does not lead.")));
+      return;
+    }
+    Position position = proposal.first().get();
+    for (int i = 0; i < group.size(); i++) {
+      pending.put(position.index() + i, new Pending(position.term(), group.get(i).answer()));
+    }
+    handle(proposal.effects());
+  }
+
+  private void handle(Effects effects) {
+    effects.messages().forEach(sender);
+    if (effects.persist().isPresent() || !effects.afterPersist().isEmpty()) {
+      disk.write(effects);
+    }
+    long revision = state.view().revision();
+    effects.installed().ifPresent(this::install);
+    effects.committed().forEach(this::apply);
+    publishedRevision = state.view().revision();
+    publishStatus();
+    if (state.view().revision() != revision) {
+      viewListeners.forEach(Runnable::run);
+    }
+  }
+
+  private void publishStatus() {
+    status = core.status(clocks.nanos());
+    if (status.role() != loggedRole) {
+      loggedRole = status.role();
+      logger.atInfo().log(
+          "event=control_role role=%s term=%d commit=%d",
+          status.role(), status.term(), status.commit());
+    }
+  }
+
+  private void install(Snapshot snapshot) {
+    restore(snapshot);
+    pending.values().forEach(waiting -> waiting.fail("Its outcome is in a snapshot."));
+    pending.clear();
+  }
+
+  private void apply(LogEntry entry) {
+    appliedIndex = entry.index();
+    bytesSinceCompaction += entry.command().size();
+    Pending waiting = pending.remove(entry.index());
+    if (!entry.hasCommand()) {
+      if (waiting != null) {
+        waiting.fail("Another entry took its place.");
+      }
+      return;
+    }
+    byte[] bytes = entry.command().toArray();
+    Answer answer =
+        state.apply(entry.index(), MessagePackCodec.decode(bytes, Command.Stamped.class));
+    if (waiting != null) {
+      waiting.finish(entry.term(), answer);
+    }
+  }
+
+  private void compactWhenLong() {
+    boolean isLong = appliedIndex - compactedIndex > COMPACT_ENTRIES;
+    if (isLong || bytesSinceCompaction > COMPACT_BYTES) {
+      compactedIndex = appliedIndex;
+      bytesSinceCompaction = 0;
+      handle(core.compact(appliedIndex, state.save()));
+      logger.atInfo().log("event=compacted index=%d", appliedIndex);
+    }
+  }
+
+  @Override
+  public void close() {
+    coreThread.interrupt();
+    diskThread.interrupt();
+  }
+
+  private record Submission(Bytes command, CompletableFuture<Answer> answer) {}
+
+  private record Pending(long term, CompletableFuture<Answer> answer) {
+    void finish(long committedTerm, Answer result) {
+      if (committedTerm == term) {
+        answer.complete(result);
+      } else {
+        fail("Another entry took its place.");
+      }
+    }
+
+    void fail(String why) {
+      answer.completeExceptionally(new ControlException("The command was lost. " + why));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -0,0 +1,199 @@
+package org.endivemux.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.endivemux.consensus.Envelope;
+import org.endivemux.consensus.Timing;
+import org.endivemux.control.client.ControlGroup;
+import org.endivemux.control.client.UsageLedger;
+import org.endivemux.control.client.ViewFollower;
+import org.endivemux.control.message.ControlReply;
+import org.endivemux.control.voter.Clocks;
+import org.endivemux.control.voter.ControlService;
+import org.endivemux.control.voter.EntryRegistry;
+import org.endivemux.control.voter.LeaderDuties;
+import org.endivemux.control.voter.PlatformClient;
+import org.endivemux.control.voter.UsageInbox;
+import org.endivemux.control.voter.Voter;
+import org.endivemux.entry.Dispatcher;
+import org.endivemux.entry.Entry;
+import org.endivemux.entry.Lifecycle;
+import org.endivemux.model.EntryInfo;
+import org.endivemux.model.Incarnation;
+import org.endivemux.model.VmId;
+import org.endivemux.routing.Choices;
+import org.endivemux.routing.Scheduler;
+import org.endivemux.storage.DataFolder;
+import org.endivemux.wire.Hello;
+import org.endivemux.wire.LinkTiming;
+import org.endivemux.wire.MessagePackCodec;
+import org.endivemux.wire.PeerLink;
+import org.endivemux.wire.PeerSecurity;
+import org.endivemux.wire.PeerServer;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+
+/**
+ * Wires the parts of one process: always an entry, and a voter when it has a data folder.
+ *
+ * <p>Started and stopped by one thread.
+ */
+public final class Daemon {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Settings settings;
+  private final Clocks clocks;
+  private final Consumer<Throwable> fatal;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final Lifecycle lifecycle = new Lifecycle();
+  private final Hello hello;
+  private final PeerSecurity security;
+  private final Map<VmId, PeerLink> voterLinks;
+  private final Dispatcher dispatcher;
+  private final Optional<Voter> voter;
+  private final Optional<ControlService> service;
+  private final Optional<LeaderDuties> duties;
+  private final ViewFollower follower;
+  private final Entry entry;
+  private final DigestExchange digests;
+  private volatile DisposableServer httpListener;
+
+  public Daemon(Settings settings, Clocks clocks, Consumer<Throwable> fatal) {
+    this.settings = settings;
+    this.clocks = clocks;
+    this.fatal = fatal;
+    this.hello = new Hello(Hello.VERSION, settings.vm(), incarnation(clocks));
+    this.security =
+        settings
+            .tls()
+            .map(tls -> PeerSecurity.of(tls.certificate(), tls.key(), tls.authority()))
+            .orElseGet(PeerSecurity::none);
+    this.voterLinks =
+        settings.voters().entrySet().stream()
+            .filter(voter -> !voter.getKey().equals(settings.vm()))
+            .collect(Collectors.toMap(Map.Entry::getKey, voter -> link(voter.getValue())));
+    this.voter = settings.dataFolder().map(DataFolder::open).map(this::voter);
+    EntryRegistry registry = new EntryRegistry();
+    UsageInbox inbox = new UsageInbox();
+    this.service = voter.map(it -> new ControlService(settings.vm(), it, registry, inbox, clocks));
+    this.duties = service.map(it -> duties(it, inbox));
+    ControlGroup control = new ControlGroup(callers());
+    UsageLedger usage = new UsageLedger();
+    this.follower = new ViewFollower(control, this::info, usage, clocks);
+    Scheduler scheduler = new Scheduler(settings.failureDomain(), Choices.named(settings.policy()));
+    this.dispatcher = new Dispatcher(scheduler, clocks::nanos);
+    this.entry =
+        new Entry(
+            new Entry.Identity(settings.vm(), hello.incarnation(), settings.failureDomain()),
+            control,
+            follower,
+            usage,
+            dispatcher,
+            lifecycle,
+            settings.limits(),
+            settings.operatorKeyDigest(),
+            Daemon::exitSoon,
+            clocks,
+            metrics);
+    this.digests = new DigestExchange(settings.vm(), follower::entries, dispatcher, this::link);
+  }
+
+  private static Incarnation incarnation(Clocks clocks) {
+    long started = clocks.millis();
+    return new Incarnation(Long.toString(started, Character.MAX_RADIX) + pid());
+  }
+
+  private static String pid() {
+    return "p" + ProcessHandle.current().pid();
+  }
+
+  private PeerLink link(InetSocketAddress address) {
+    return new PeerLink(address, hello, security, LinkTiming.standard()).start();
+  }
+
+  private Voter voter(DataFolder folder) {
+    Set<VmId> named = settings.voters().keySet();
+    return new Voter(
+        settings.vm(), named, folder, Timing.standard(), clocks, this::send, fatal, metrics);
+  }
+
+  private void send(Envelope envelope) {
+    Optional.ofNullable(voterLinks.get(envelope.to()))
+        .filter(PeerLink::isOpen)
+        .ifPresent(link -> link.send(PeerPayload.encode(PeerPayload.CONSENSUS, envelope)));
+  }
+
+  private LeaderDuties duties(ControlService controlService, UsageInbox inbox) {
+    Voter own = voter.orElseThrow();
+    Optional<PlatformClient> platform =
+        settings.platform().map(address -> new PlatformClient(address, own::holdsLease));
+    return new LeaderDuties(
+        own, controlService, inbox, platform, clocks, settings.usageWindow(), metrics);
+  }
+
+  private Map<VmId, ControlGroup.Caller> callers() {
+    return settings.voters().keySet().stream().collect(Collectors.toMap(vm -> vm, this::caller));
+  }
+
+  private ControlGroup.Caller caller(VmId vm) {
+    if (vm.equals(settings.vm())) {
+      return ControlGroup.local(service.orElseThrow()::handle);
+    }
+    PeerLink link = voterLinks.get(vm);
+    return (request, limit) ->
+        link.request(MessagePackCodec.encode(request), limit)
+            .map(bytes -> MessagePackCodec.decode(bytes, ControlReply.class));
+  }
+
+  private EntryInfo info() {
+    return new EntryInfo(
+        settings.vm(),
+        hello.incarnation(),
+        settings.failureDomain(),
+        text(settings.httpAddress()),
+        text(settings.peerAddress()),
+        lifecycle.isAnnounced());
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  /** Ends the process, which drains first, on a thread of its own. */
+  private static void exitSoon() {
+    new Thread(() -> System.exit(0), "exit").start();
+  }
+
+  /** Opens the ports and starts to work; throws when a port is in use. */
+  public Daemon start() {
+    PeerRouter router = new PeerRouter(voter, service, dispatcher);
+    PeerServer peers =
+        new PeerServer(settings.peerAddress(), router, security, LinkTiming.standard());
+    peers.start();
+    httpListener = entry.start(settings.httpAddress());
+    voter.ifPresent(Voter::start);
+    duties.ifPresent(LeaderDuties::start);
+    dispatcher.start();
+    follower.start();
+    digests.start();
+    logger.atInfo().log(
+        "event=started vm=%s incarnation=%s http=%s peer=%s voter=%s",
+        settings.vm(),
+        hello.incarnation(),
+        text(settings.httpAddress()),
+        text(settings.peerAddress()),
+        voter.isPresent());
+    return this;
+  }
+
+  /** Drains and completes when no request is in flight. */
+  public Mono<Void> stop() {
+    return entry.stop(httpListener);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivemux/daemon/PeerRouter.java
@@ -0,0 +1,50 @@
+package org.endivemux.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import org.endivemux.consensus.Envelope;
+import org.endivemux.control.message.ControlReply;
+import org.endivemux.control.message.ControlRequest;
+import org.endivemux.control.voter.ControlService;
+import org.endivemux.control.voter.Voter;
+import org.endivemux.entry.Dispatcher;
+import org.endivemux.wire.Hello;
+import org.endivemux.wire.MessagePackCodec;
+import org.endivemux.wire.PeerHandler;
+import reactor.core.publisher.Mono;
+
+/** Hands what other VMs send to the part that it is for. Thread-safe. */
+final class PeerRouter implements PeerHandler {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Optional<Voter> voter;
+  private final Optional<ControlService> service;
+  private final Dispatcher dispatcher;
+
+  PeerRouter(Optional<Voter> voter, Optional<ControlService> service, Dispatcher dispatcher) {
+    this.voter = voter;
+    this.service = service;
+    this.dispatcher = dispatcher;
+  }
+
+  @Override
+  public void onMessage(Hello from, byte[] payload) {
+    switch (PeerPayload.kindOf(payload)) {
+      case PeerPayload.CONSENSUS ->
+          voter.ifPresent(it -> it.receive(PeerPayload.decode(payload, Envelope.class)));
+      case PeerPayload.DIGEST ->
+          dispatcher.peerDigest(
+              from.vm().value(), PeerPayload.decode(payload, PeerDigest.class).inFlight());
+      default -> logger.atWarning().log("event=peer_unknown_kind vm=%s", from.vm());
+    }
+  }
+
+  @Override
+  public Mono<byte[]> onRequest(Hello from, byte[] payload) {
+    ControlRequest request = MessagePackCodec.decode(payload, ControlRequest.class);
+    return service
+        .map(it -> it.handle(request))
+        .orElseGet(() -> Mono.just(new ControlReply.NotLeader(Optional.empty())))
+        .map(MessagePackCodec::encode);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/endivemux/entry/Counters.java
@@ -0,0 +1,65 @@
+package org.endivemux.entry;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.endivemux.model.ClassName;
+import org.endivemux.model.Reason;
+import org.endivemux.model.RetryReason;
+
+/**
+ * Counts what an entry does.
+ *
+ * <p>Invariant: there is a counter for each refusal and retry reason from the start. Thread-safe.
+ */
+public final class Counters {
+  private final MetricRegistry registry;
+  private final Map<Reason, Counter> refusals = new EnumMap<>(Reason.class);
+  private final Map<RetryReason, Counter> retries = new EnumMap<>(RetryReason.class);
+  private final Counter crossed;
+
+  public Counters(MetricRegistry registry) {
+    this.registry = registry;
+    Arrays.stream(Reason.values())
+        .forEach(reason -> refusals.put(reason, registry.counter("refusals." + reason)));
+    Arrays.stream(RetryReason.values())
+        .forEach(reason -> retries.put(reason, registry.counter("retries." + reason)));
+    this.crossed = registry.counter("backend.crossedAnswers");
+  }
+
+  void refused(Reason reason) {
+    refusals.get(reason).inc();
+  }
+
+  void retried(RetryReason reason) {
+    retries.get(reason).inc();
+  }
+
+  void crossed() {
+    crossed.inc();
+  }
+
+  /** Counts tokens that backend servers made and no caller got. */
+  void wasted(int tokens) {
+    registry.counter("tokens.wasted").inc(tokens);
+  }
+
+  void delivered(int tokens) {
+    registry.counter("tokens.delivered").inc(tokens);
+  }
+
+  void answered(ClassName requestClass, long nanos, boolean onTime) {
+    Timer timer = registry.timer("answers." + requestClass);
+    timer.update(nanos, TimeUnit.NANOSECONDS);
+    registry.counter("answers." + requestClass + (onTime ? ".onTime" : ".late")).inc();
+  }
+
+  /** Returns the registry of all metrics. */
+  public MetricRegistry registry() {
+    return registry;
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/endivemux/entry/EntryParts.java
@@ -0,0 +1,11 @@
+package org.endivemux.entry;
+
+/** Holds the handlers of an entry. Immutable and thread-safe. */
+record EntryParts(
+    ChatHandler chat,
+    ServiceHandler services,
+    OperatorHandler operators,
+    EntriesHandler entries,
+    Admission admission,
+    Counters counters,
+    Limits limits) {}
--- /dev/null
+++ b/entry/src/main/java/org/endivemux/entry/EntryServer.java
@@ -0,0 +1,144 @@
+package org.endivemux.entry;
+
+import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.endivemux.model.Incarnation;
+import org.endivemux.model.Reason;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.VmId;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Serves callers and operators over HTTP.
+ *
+ * <p>Invariant: a request that no route takes is answered with a refusal and nothing is sent to a
+ * backend server. Thread-safe.
+ */
+public final class EntryServer {
+  private static final String PLANS = "/v1/plans";
+  private static final String KEYS = "/v1/keys";
+  private static final String OUTCOMES = "/v1/outcomes/";
+  private static final String CONFIRM = "/confirm";
+  private static final String TEXT = "text/plain; version=0.0.4";
+  private static final int OK = 200;
+  private static final int UNAVAILABLE = 503;
+
+  private final EntryParts parts;
+  private final AtomicLong requests = new AtomicLong();
+  private final String idPrefix;
+
+  EntryServer(EntryParts parts, VmId vm, Incarnation incarnation) {
+    this.parts = parts;
+    this.idPrefix = vm + "-" + incarnation + "-";
+  }
+
+  /** Opens the port; throws {@code ChannelBindException} when it is in use. */
+  public DisposableServer start(InetSocketAddress address) {
+    return HttpServer.create()
+        .bindAddress(() -> address)
+        .httpRequestDecoder(
+            spec ->
+                spec.maxInitialLineLength(parts.limits().headerBytes())
+                    .maxHeaderSize(parts.limits().headerBytes()))
+        .handle(this::handle)
+        .bindNow(Duration.ofSeconds(10));
+  }
+
+  private Publisher<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+    RequestId id = new RequestId(idPrefix + requests.incrementAndGet());
+    Exchange exchange = new Exchange(request, response, id, parts.counters());
+    return Mono.defer(() -> route(exchange)).onErrorResume(exchange::refuse);
+  }
+
+  private Mono<Void> route(Exchange exchange) {
+    String path = pathOf(exchange.request());
+    HttpMethod method = exchange.request().method();
+    if (path.equals("/v1/chat/completions")) {
+      return only(HttpMethod.POST, method, exchange, parts.chat()::handle);
+    } else if (path.startsWith(ServiceHandler.PREFIX)) {
+      return parts.services().handle(exchange);
+    } else if (path.equals("/v1/entries")) {
+      return only(HttpMethod.GET, method, exchange, parts.entries()::handle);
+    } else if (path.startsWith(OUTCOMES)) {
+      String key = path.substring(OUTCOMES.length());
+      return only(HttpMethod.GET, method, exchange, it -> parts.operators().outcome(it, key));
+    }
+    return routeOperators(exchange, path, method);
+  }
+
+  private Mono<Void> routeOperators(Exchange exchange, String path, HttpMethod method) {
+    OperatorHandler operators = parts.operators();
+    if (path.equals(PLANS)) {
+      return only(HttpMethod.POST, method, exchange, operators::plan);
+    } else if (path.startsWith(PLANS + "/") && path.endsWith(CONFIRM)) {
+      String plan = path.substring(PLANS.length() + 1, path.length() - CONFIRM.length());
+      return only(HttpMethod.POST, method, exchange, it -> operators.confirm(it, plan));
+    } else if (path.equals(KEYS)) {
+      return only(HttpMethod.POST, method, exchange, operators::createKey);
+    } else if (path.startsWith(KEYS + "/")) {
+      String key = path.substring(KEYS.length() + 1);
+      return only(HttpMethod.DELETE, method, exchange, it -> operators.withdrawKey(it, key));
+    } else if (path.equals("/v1/status")) {
+      return only(HttpMethod.GET, method, exchange, operators::status);
+    } else if (path.equals("/v1/usage")) {
+      return only(HttpMethod.GET, method, exchange, operators::usage);
+    } else if (path.equals("/v1/backends/leaving")) {
+      return only(HttpMethod.POST, method, exchange, operators::setLeaving);
+    }
+    return path.equals("/v1/drain")
+        ? only(HttpMethod.POST, method, exchange, operators::drain)
+        : routeHealth(exchange, path, method);
+  }
+
+  private Mono<Void> routeHealth(Exchange exchange, String path, HttpMethod method) {
+    return switch (path) {
+      case "/metrics" ->
+          only(
+              HttpMethod.GET,
+              method,
+              exchange,
+              it -> text(it, OK, MetricsText.of(parts.counters().registry())));
+      case "/healthz" -> only(HttpMethod.GET, method, exchange, it -> text(it, OK, "alive\n"));
+      case "/readyz" -> only(HttpMethod.GET, method, exchange, this::ready);
+      default -> Mono.error(new RefusedException(Reason.UNKNOWN_ROUTE));
+    };
+  }
+
+  private static Mono<Void> only(
+      HttpMethod allowed,
+      HttpMethod method,
+      Exchange exchange,
+      Function<Exchange, Mono<Void>> handler) {
+    return method.equals(allowed)
+        ? handler.apply(exchange)
+        : Mono.error(new RefusedException(Reason.METHOD_NOT_ALLOWED));
+  }
+
+  private Mono<Void> ready(Exchange exchange) {
+    Optional<Reason> closed = parts.admission().closed();
+    return text(
+        exchange,
+        closed.isPresent() ? UNAVAILABLE : OK,
+        closed.map(reason -> reason + ": " + reason.summary()).orElse("ready") + "\n");
+  }
+
+  private static Mono<Void> text(Exchange exchange, int status, String text) {
+    return exchange.bytes(status, TEXT, text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static String pathOf(HttpServerRequest request) {
+    String uri = request.uri();
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+}
--- /dev/null
+++ b/entry/src/main/java/org/endivemux/entry/InFlight.java
@@ -0,0 +1,40 @@
+package org.endivemux.entry;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.endivemux.model.KeyDigest;
+import org.endivemux.model.RequestId;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+
+/**
+ * Keeps the requests that are under way, so that shutdown can wait for them and a withdrawn key can
+ * end its streams. Thread-safe.
+ */
+final class InFlight {
+  private final Map<RequestId, Item> items = new ConcurrentHashMap<>();
+
+  /** Adds a request and returns what completes when its key is withdrawn. */
+  Mono<Void> add(RequestId id, KeyDigest key) {
+    Item item = new Item(key, Sinks.empty());
+    items.put(id, item);
+    return item.withdrawn().asMono();
+  }
+
+  void remove(RequestId id) {
+    items.remove(id);
+  }
+
+  int size() {
+    return items.size();
+  }
+
+  /** Ends the requests whose keys are withdrawn. */
+  void endWithdrawn(Authenticator authenticator) {
+    items.values().stream()
+        .filter(item -> authenticator.isWithdrawn(item.key()))
+        .forEach(item -> item.withdrawn().tryEmitEmpty());
+  }
+
+  private record Item(KeyDigest key, Sinks.Empty<Void> withdrawn) {}
+}
--- /dev/null
+++ b/entry/src/main/java/org/endivemux/entry/LifecycleEvent.java
@@ -0,0 +1,8 @@
+package org.endivemux.entry;
+
+/** Names the events of {@code lifecycle.yaml}. Immutable and thread-safe. */
+enum LifecycleEvent {
+  STOP_ASKED,
+  ANSWERS_EXPIRED,
+  IDLE
+}
--- /dev/null
+++ b/entry/src/main/java/org/endivemux/entry/LifecycleState.java
@@ -0,0 +1,9 @@
+package org.endivemux.entry;
+
+/** Names the states of {@code lifecycle.yaml}. Immutable and thread-safe. */
+public enum LifecycleState {
+  SERVING,
+  LEAVING,
+  DRAINING,
+  STOPPED
+}
--- /dev/null
+++ b/entry/src/main/java/org/endivemux/entry/RefusedException.java
@@ -0,0 +1,46 @@
+package org.endivemux.entry;
+
+import org.endivemux.model.Reason;
+
+/** Carries a refusal through a reactive chain to where it is answered. Immutable. */
+public final class RefusedException extends RuntimeException {
+  private static final long MILLIS_PER_SECOND = 1000;
+
+  private final Reason reason;
+  private final String detail;
+  private final long retryAfterSeconds;
+
+  public RefusedException(Reason reason) {
+    this(reason, reason.summary(), reason.retryAfterSeconds());
+  }
+
+  public RefusedException(Reason reason, String detail) {
+    this(reason, detail, reason.retryAfterSeconds());
+  }
+
+  private RefusedException(Reason reason, String detail, long retryAfterSeconds) {
+    super(reason + ": " + detail, null, false, false);
+    this.reason = reason;
+    this.detail = detail;
+    this.retryAfterSeconds = retryAfterSeconds;
+  }
+
+  /** Returns a refusal that says after how many milliseconds to try again, rounded up. */
+  static RefusedException retryAfterMillis(Reason reason, long millis) {
+    long seconds = Math.max(1, (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND);
+    return new RefusedException(reason, reason.summary(), seconds);
+  }
+
+  public Reason reason() {
+    return reason;
+  }
+
+  public String detail() {
+    return detail;
+  }
+
+  /** Returns the seconds for {@code Retry-After}; 0 for none. */
+  public long retryAfterSeconds() {
+    return retryAfterSeconds;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/endivemux/model/ClassName.java
@@ -0,0 +1,27 @@
+package org.endivemux.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a declared class of requests. Immutable; never blank, at most {@value Ids#MAX_LENGTH}
+ * characters.
+ */
+public record ClassName(@JsonValue String value) implements Comparable<ClassName> {
+
+  /** Throws {@link IllegalArgumentException} with a full sentence when the text is no id. */
+  @JsonCreator
+  public ClassName {
+    Ids.check("ClassName", value);
+  }
+
+  @Override
+  public int compareTo(ClassName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/endivemux/model/Declaration.java
@@ -0,0 +1,102 @@
+package org.endivemux.model;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Holds what an operator declares: organisations, classes, routes, backend servers and budget.
+ *
+ * <p>Immutable and thread-safe; absent lists are empty. Structural checks are in {@link
+ * DeclarationCheck}.
+ */
+@JsonIgnoreProperties(ignoreUnknown = false)
+public record Declaration(
+    List<Organisation> organisations,
+    List<RequestClass> classes,
+    List<Route> routes,
+    List<BackendServer> backendServers,
+    double budgetPerHour) {
+
+  public Declaration {
+    organisations = organisations == null ? List.of() : List.copyOf(organisations);
+    classes = classes == null ? List.of() : List.copyOf(classes);
+    routes = routes == null ? List.of() : List.copyOf(routes);
+    backendServers = backendServers == null ? List.of() : List.copyOf(backendServers);
+  }
+
+  /** Returns the declaration that is in force before any plan is confirmed. */
+  public static Declaration empty() {
+    return new Declaration(List.of(), List.of(), List.of(), List.of(), 0);
+  }
+
+  /** Returns the organisation with this id. */
+  public Optional<Organisation> organisation(OrganisationId id) {
+    return organisations.stream().filter(candidate -> candidate.id().equals(id)).findFirst();
+  }
+
+  /**
+   * Holds one organisation: its share of contended room and the classes beyond the routes' own that
+   * it may ask for.
+   */
+  public record Organisation(OrganisationId id, int share, List<ClassName> classes) {
+    public Organisation {
+      share = share == 0 ? 1 : share;
+      classes = classes == null ? List.of() : List.copyOf(classes);
+    }
+  }
+
+  /**
+   * Holds one class of requests.
+   *
+   * @param tier priority; 0 is served first
+   * @param protectedTier true for sales and bookings, which are never shed for a lower tier
+   * @param targetMillis time to the first token, or to the whole answer of a service, in
+   *     milliseconds
+   * @param patienceMillis longest wait in the queue in milliseconds before the request is refused
+   * @param floorShare part of the room, 0 to 1, that this class gets whenever it waits
+   */
+  public record RequestClass(
+      ClassName name,
+      int tier,
+      boolean protectedTier,
+      long targetMillis,
+      long patienceMillis,
+      double floorShare) {}
+
+  /**
+   * Holds one route: a model for chat completions or a plain service.
+   *
+   * @param repeatable false when a call must run at most once
+   */
+  public record Route(Type type, String name, ClassName requestClass, boolean repeatable) {
+    /** Tells what a route leads to. */
+    public enum Type {
+      MODEL,
+      SERVICE
+    }
+  }
+
+  /**
+   * Holds one backend server.
+   *
+   * @param address host and port by IP number, as {@code 127.0.0.1:9000}
+   * @param serves names of models and services
+   * @param room most requests that it should run at once
+   * @param checksFencing whether it refuses orders under an old fencing number
+   */
+  public record BackendServer(
+      BackendServerId id,
+      String address,
+      FailureDomain failureDomain,
+      Kind kind,
+      List<String> serves,
+      int room,
+      double costPerHour,
+      boolean checksFencing) {
+    public BackendServer {
+      serves = serves == null ? List.of() : List.copyOf(serves);
+      kind = kind == null ? Kind.STEADY : kind;
+    }
+  }
+}
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/Scheduler.java
@@ -0,0 +1,328 @@
+package org.endivemux.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.ClassName;
+import org.endivemux.model.Declaration;
+import org.endivemux.model.Declaration.BackendServer;
+import org.endivemux.model.Declaration.Organisation;
+import org.endivemux.model.Declaration.RequestClass;
+import org.endivemux.model.DeclarationIndex;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.Reason;
+import org.endivemux.model.RequestId;
+import org.endivemux.routing.Choice.Candidate;
+import org.endivemux.routing.Observation.Result;
+
+/**
+ * Decides which waiting request goes to which backend server, and which is refused.
+ *
+ * <p>Pure: time is passed in as monotonic nanoseconds and nothing is sent. Invariants: a request is
+ * bound only when a backend server has room; a protected request is never refused for a lower tier
+ * and finds reserved room; every class that waits gets at least its floor share of all choices, and
+ * one that has waited half its patience goes before younger lower tiers; within a class
+ * organisations are served by share. Not thread-safe: one caller at a time.
+ */
+public final class Scheduler {
+  /** Part of the room of a shared backend server that only protected classes may use. */
+  private static final double RESERVED_SHARE = 0.2;
+
+  private static final int MAX_WAITING_PER_ORGANISATION = 1000;
+  private static final double STRAGGLER = 3;
+  private static final double NANOS_PER_MILLI = 1e6;
+  private static final double DEFAULT_FIRST_BYTE_MILLIS = 20;
+
+  private final FailureDomain domain;
+  private final Choice choice;
+  private final Map<QueueId, FairQueue> queues = new TreeMap<>();
+  private final Map<BackendServerId, ServerState> servers = new TreeMap<>();
+  private final Map<RequestId, Running> running = new HashMap<>();
+  private final Map<ClassName, Double> floorCredits = new HashMap<>();
+  private final LengthEstimator lengths = new LengthEstimator();
+  private final WaitEstimator waits = new WaitEstimator();
+  private DeclarationIndex declared = new DeclarationIndex(Declaration.empty());
+  private double medianNanosPerToken;
+
+  public Scheduler(FailureDomain domain, Choice choice) {
+    this.domain = domain;
+    this.choice = Choices.keepingUnrepeatableOffCheap(choice);
+  }
+
+  /** Takes over a configuration and the backend servers that are leaving. */
+  public void configure(DeclarationIndex newer, Predicate<BackendServerId> leaving) {
+    declared = newer;
+    newer
+        .declaration()
+        .backendServers()
+        .forEach(
+            server -> {
+              ServerState state =
+                  servers.computeIfAbsent(server.id(), id -> new ServerState(server));
+              state.declare(server);
+              state.leaving = leaving.test(server.id());
+            });
+    servers.values().forEach(state -> state.leaving |= isGone(state));
+    servers.values().removeIf(state -> state.leaving && state.own() == 0 && isGone(state));
+  }
+
+  private boolean isGone(ServerState state) {
+    return !declared.declaration().backendServers().contains(state.server);
+  }
+
+  /** Takes a job in, or refuses it at once. */
+  public Optional<Refusal> offer(Job job, long now) {
+    RequestClass requestClass = classOf(job.requestClass());
+    if (serversOf(job).findAny().isEmpty()) {
+      return Optional.of(new Refusal(job, Reason.NO_CAPACITY, 0));
+    }
+    FairQueue queue = queues.computeIfAbsent(queueId(job), id -> new FairQueue());
+    if (queue.sizeOf(job.organisation()) >= MAX_WAITING_PER_ORGANISATION) {
+      return Optional.of(new Refusal(job, Reason.QUEUE_FULL, requestClass.patienceMillis()));
+    }
+    long expectedMillis = waits.expectedMillis(queueId(job).toString(), aheadOf(job, queue));
+    if (!requestClass.protectedTier() && expectedMillis > requestClass.patienceMillis()) {
+      return Optional.of(
+          new Refusal(job, Reason.TOO_LATE, expectedMillis - requestClass.patienceMillis()));
+    }
+    queue.add(job);
+    return Optional.empty();
+  }
+
+  /** Returns how many jobs a fair queue serves before the next of this organisation. */
+  private int aheadOf(Job job, FairQueue queue) {
+    int organisations = (int) queue.organisations().count();
+    int own = queue.sizeOf(job.organisation());
+    return Math.min(queue.size(), own * Math.max(1, organisations) + organisations);
+  }
+
+  private Stream<ServerState> serversOf(Job job) {
+    return servers.values().stream()
+        .filter(state -> !state.leaving && state.server.serves().contains(job.route()));
+  }
+
+  /** Binds as many waiting jobs as there is room for. */
+  public List<Assignment> assign(long now) {
+    List<Assignment> assignments = new ArrayList<>();
+    Optional<Assignment> next = assignOne(now);
+    while (next.isPresent()) {
+      assignments.add(next.get());
+      next = assignOne(now);
+    }
+    return assignments;
+  }
+
+  private Optional<Assignment> assignOne(long now) {
+    medianNanosPerToken = medianNanosPerToken();
+    return queues.entrySet().stream()
+        .filter(queue -> queue.getValue().size() > 0)
+        .sorted(Comparator.comparing(queue -> rank(queue.getKey(), queue.getValue(), now)))
+        .flatMap(queue -> bind(queue.getKey(), queue.getValue(), now).stream())
+        .findFirst();
+  }
+
+  private Rank rank(QueueId id, FairQueue queue, long now) {
+    RequestClass requestClass = classOf(id.requestClass());
+    double waitedMillis = (now - queue.oldestArrival()) / NANOS_PER_MILLI;
+    boolean aged = waitedMillis > requestClass.patienceMillis() / 2.0;
+    boolean owed = floorCredits.getOrDefault(id.requestClass(), 0.0) >= 1;
+    int group = owed ? 0 : requestClass.protectedTier() ? 1 : 2;
+    int tier = aged && !requestClass.protectedTier() ? -1 : requestClass.tier();
+    return new Rank(group, tier, queue.oldestArrival());
+  }
+
+  private Optional<Assignment> bind(QueueId id, FairQueue queue, long now) {
+    RequestClass requestClass = classOf(id.requestClass());
+    Job job = queue.peek().orElseThrow();
+    Stream<Candidate> candidates =
+        serversOf(job)
+            .filter(state -> state.hasRoom(requestClass.protectedTier(), reservedShare(state), now))
+            .map(state -> candidate(job, state, now));
+    return choice
+        .choose(job, candidates)
+        .map(chosen -> start(job, queue, requestClass, chosen.server(), now));
+  }
+
+  /** Returns the part of a server that only protected classes may use. */
+  private double reservedShare(ServerState state) {
+    boolean sharedWithProtected =
+        declared.declaration().routes().stream()
+            .filter(route -> state.server.serves().contains(route.name()))
+            .anyMatch(route -> classOf(route.requestClass()).protectedTier());
+    return sharedWithProtected ? RESERVED_SHARE : 0;
+  }
+
+  private Candidate candidate(Job job, ServerState state, long now) {
+    double firstByteMillis =
+        state
+            .firstByteNanos()
+            .map(nanos -> nanos / NANOS_PER_MILLI)
+            .orElse(DEFAULT_FIRST_BYTE_MILLIS);
+    return new Candidate(
+        state.server,
+        state.own(),
+        state.total(now),
+        state.room(),
+        firstByteMillis,
+        slowness(state),
+        state.mayHoldPrefix(job.prefix()),
+        state.server.failureDomain().equals(domain));
+  }
+
+  private double slowness(ServerState state) {
+    double relative =
+        state
+            .nanosPerToken()
+            .filter(nanos -> medianNanosPerToken > 0)
+            .map(nanos -> nanos / medianNanosPerToken)
+            .orElse(1.0);
+    return relative > STRAGGLER ? relative * relative : Math.max(1, relative);
+  }
+
+  private double medianNanosPerToken() {
+    List<Double> known =
+        servers.values().stream()
+            .flatMap(state -> state.nanosPerToken().stream())
+            .sorted()
+            .toList();
+    return known.isEmpty() ? 0 : known.get((known.size() - 1) / 2);
+  }
+
+  private Assignment start(
+      Job job, FairQueue queue, RequestClass requestClass, BackendServer server, long now) {
+    double cost =
+        job.promptTokens() / 8.0 + lengths.quantile(job.requestClass(), job.organisation(), 0.5);
+    queue.take(cost, shareOf(job));
+    creditFloors(job.requestClass());
+    waits.started(queueId(job).toString(), queue.size() > 0, now);
+    servers.get(server.id()).started(job, requestClass.protectedTier());
+    running.put(job.id(), new Running(job, server.id(), requestClass.protectedTier()));
+    return new Assignment(job, server);
+  }
+
+  private int shareOf(Job job) {
+    return declared.organisation(job.organisation()).map(Organisation::share).orElse(1);
+  }
+
+  /** Gives every waiting class its floor share of this choice, and takes one from the chosen. */
+  private void creditFloors(ClassName chosen) {
+    queues.entrySet().stream()
+        .filter(queue -> queue.getValue().size() > 0)
+        .map(queue -> queue.getKey().requestClass())
+        .distinct()
+        .filter(name -> !name.equals(chosen))
+        .forEach(
+            name ->
+                floorCredits.merge(
+                    name, classOf(name).floorShare(), (known, more) -> Math.min(2, known + more)));
+    floorCredits.computeIfPresent(chosen, (name, known) -> Math.max(0, known - 1));
+  }
+
+  /** Notes the end of a job's try; the job is no longer known then. */
+  public void finished(RequestId id, Observation seen, long now) {
+    Running ended = running.remove(id);
+    if (ended == null) {
+      return;
+    }
+    Job job = ended.job();
+    long targetNanos = (long) (classOf(job.requestClass()).targetMillis() * NANOS_PER_MILLI);
+    ServerState state = servers.get(ended.server());
+    state.ended(ended.isProtected(), seen, targetNanos, now);
+    if (state.leaving && state.own() == 0 && isGone(state)) {
+      servers.remove(ended.server());
+    }
+    if (seen.result() == Result.OK && seen.answerTokens() > 0) {
+      lengths.saw(job.requestClass(), job.organisation(), seen.answerTokens());
+    }
+  }
+
+  /** Removes a waiting job whose caller went away. */
+  public void cancel(Job job) {
+    Optional.ofNullable(queues.get(queueId(job)))
+        .ifPresent(queue -> queue.remove(waiting -> waiting.id().equals(job.id())));
+  }
+
+  /** Removes the jobs that have waited longer than their class's patience. */
+  public List<Refusal> expire(long now) {
+    return queues.entrySet().stream()
+        .flatMap(queue -> expire(queue.getKey(), queue.getValue(), now))
+        .toList();
+  }
+
+  private Stream<Refusal> expire(QueueId id, FairQueue queue, long now) {
+    double patience = classOf(id.requestClass()).patienceMillis() * NANOS_PER_MILLI;
+    return queue.oldestArrival() == Long.MAX_VALUE || now - queue.oldestArrival() <= patience
+        ? Stream.empty()
+        : queue.remove(job -> now - job.arrivedAt() > patience).stream()
+            .map(
+                job ->
+                    new Refusal(job, Reason.TOO_LATE, classOf(id.requestClass()).targetMillis()));
+  }
+
+  /** Takes over what another entry says it has in flight at each backend server. */
+  public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight, long now) {
+    servers
+        .values()
+        .forEach(state -> state.peerHas(peer, inFlight.getOrDefault(state.server.id(), 0), now));
+  }
+
+  /** Returns the own requests in flight at each backend server that has any. */
+  public Map<BackendServerId, Integer> digest() {
+    Map<BackendServerId, Integer> own = new TreeMap<>();
+    servers.values().stream()
+        .filter(state -> state.own() > 0)
+        .forEach(state -> own.put(state.server.id(), state.own()));
+    return own;
+  }
+
+  /** Returns the number of waiting jobs. */
+  public int waiting() {
+    return queues.values().stream().mapToInt(FairQueue::size).sum();
+  }
+
+  /** Returns the number of running jobs. */
+  public int inFlight() {
+    return running.size();
+  }
+
+  private RequestClass classOf(ClassName name) {
+    return declared.requestClass(name).orElseGet(() -> undeclared(name));
+  }
+
+  /** Returns a class for jobs whose own was removed while they waited. */
+  private static RequestClass undeclared(ClassName name) {
+    return new RequestClass(name, Integer.MAX_VALUE, false, 1000, 1000, 0);
+  }
+
+  private static QueueId queueId(Job job) {
+    return new QueueId(job.requestClass(), job.route());
+  }
+
+  private record QueueId(ClassName requestClass, String route) implements Comparable<QueueId> {
+    @Override
+    public int compareTo(QueueId other) {
+      return Comparator.comparing(QueueId::requestClass)
+          .thenComparing(QueueId::route)
+          .compare(this, other);
+    }
+  }
+
+  private record Rank(int group, int tier, long oldestArrival) implements Comparable<Rank> {
+    @Override
+    public int compareTo(Rank other) {
+      return Comparator.comparingInt(Rank::group)
+          .thenComparingInt(Rank::tier)
+          .thenComparingLong(Rank::oldestArrival)
+          .compare(this, other);
+    }
+  }
+
+  private record Running(Job job, BackendServerId server, boolean isProtected) {}
+}
--- /dev/null
+++ b/statechart/src/main/java/org/endivemux/statechart/ChartException.java
@@ -0,0 +1,12 @@
+package org.endivemux.statechart;
+
+/** Signals a chart that is not sound or an event that a chart does not allow. Immutable. */
+public final class ChartException extends RuntimeException {
+  public ChartException(String message) {
+    super(message);
+  }
+
+  public ChartException(String message, Throwable cause) {
+    super(message, cause);
+  }
+}
