Measure the hop through an entry; keep the engine's connection after a stream

Cause: each stream closed its connection to the engine at [DONE], and an event's text was decoded three times to find its position.

Change: the relay lets the body end by itself after the closing event and finds the position in the bytes; bin/hop measures against the stand-in called directly in the same run.

--- a/entry/src/main/java/org/endivemux/entry/ChatStream.java
+++ b/entry/src/main/java/org/endivemux/entry/ChatStream.java
@@ -72,7 +72,7 @@
         .body()
         .concatMapIterable(splitter::feed)
         .filter(event -> accept(event, oneTry))
-        .takeUntil(SseEvent::isDone)
+        .onErrorResume(error -> oneTry.isWhole() ? Flux.empty() : Flux.error(error))
         .concatWith(Flux.defer(() -> checkWhole(oneTry)));
   }
 
--- a/entry/src/main/java/org/endivemux/entry/SseEvent.java
+++ b/entry/src/main/java/org/endivemux/entry/SseEvent.java
@@ -1,6 +1,7 @@
 package org.endivemux.entry;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.OptionalLong;
 
 /**
@@ -10,8 +11,9 @@
  */
 @SuppressWarnings("ArrayRecordComponent") // Events are handed on, not compared.
 record SseEvent(byte[] raw) {
-  private static final String ID = "id:";
-  private static final String DONE = "data: [DONE]";
+  private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] DONE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
+  private static final int MAX_DIGITS = 18;
 
   /** Returns the event with a text. */
   static SseEvent ofText(String text) {
@@ -20,21 +22,38 @@
 
   /** Returns the token position that the event's id tells. */
   OptionalLong position() {
-    return text()
-        .lines()
-        .filter(line -> line.startsWith(ID))
-        .map(line -> line.substring(ID.length()).strip())
-        .filter(digits -> !digits.isEmpty() && digits.chars().allMatch(Character::isDigit))
-        .mapToLong(Long::parseLong)
-        .findFirst();
+    int line = 0;
+    while (line < raw.length && !startsWith(line, ID)) {
+      line = nextLine(line);
+    }
+    return line >= raw.length ? OptionalLong.empty() : number(line + ID.length);
   }
 
   /** Returns whether this is the mark of a whole answer. */
   boolean isDone() {
-    return text().startsWith(DONE);
+    return startsWith(0, DONE);
   }
 
-  private String text() {
-    return new String(raw, StandardCharsets.UTF_8);
+  private boolean startsWith(int offset, byte[] wanted) {
+    int end = Math.min(raw.length, offset + wanted.length);
+    return Arrays.equals(raw, offset, end, wanted, 0, wanted.length);
+  }
+
+  private int nextLine(int from) {
+    int at = from;
+    while (at < raw.length && raw[at] != '\n') {
+      at++;
+    }
+    return at + 1;
+  }
+
+  private OptionalLong number(int from) {
+    int end = nextLine(from) - 1;
+    String digits = new String(raw, from, end - from, StandardCharsets.US_ASCII).strip();
+    boolean sound =
+        !digits.isEmpty()
+            && digits.length() <= MAX_DIGITS
+            && digits.chars().allMatch(Character::isDigit);
+    return sound ? OptionalLong.of(Long.parseLong(digits)) : OptionalLong.empty();
   }
 }
--- a/testing/src/main/java/org/endivemux/testing/StandInMain.java
+++ b/testing/src/main/java/org/endivemux/testing/StandInMain.java
@@ -10,11 +10,17 @@
   private static final String USAGE =
       "Use: standins engine|service|platform --port N"
           + " [--slots N] [--token-micros N] [--prompt-token-micros N] [--report-lag-millis N]"
-          + " [--checks-fencing true|false]";
+          + " [--checks-fencing true|false]"
+          + System.lineSeparator()
+          + "     standins hop SERVICE ENGINE ENTRY KEY";
 
   private StandInMain() {}
 
   public static void main(String[] args) throws InterruptedException {
+    if (args.length == 5 && args[0].equals("hop")) {
+      new HopBench(args[1], args[2], args[3], args[4]).run();
+      System.exit(0);
+    }
     try {
       start(args);
       Thread.currentThread().join();
