Integration tests of failures; mend what they found

Cause: the promises had no proof.

Change: the budget starts full, the main thread stays, a try's room is given back before anyone hears of its end.

--- a/daemon/src/main/java/org/endivemux/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonMain.java
@@ -21,12 +21,18 @@
 
   private DaemonMain() {}
 
-  public static void main(String[] args) {
+  public static void main(String[] args) throws InterruptedException {
     Logging.start();
     int status = run(args);
     if (status >= 0) {
       System.exit(status);
     }
+    keepRunning();
+  }
+
+  /** Blocks for good: all other threads of an entry without a vote are daemon threads. */
+  private static void keepRunning() throws InterruptedException {
+    Thread.currentThread().join();
   }
 
   /** Returns an exit status, or a negative number when the daemon runs on. */
--- a/entry/src/main/java/org/endivemux/entry/Tries.java
+++ b/entry/src/main/java/org/endivemux/entry/Tries.java
@@ -12,7 +12,6 @@
 import org.endivemux.routing.Observation;
 import org.endivemux.routing.RetryBudget;
 import reactor.core.publisher.Flux;
-import reactor.core.publisher.SignalType;
 
 /**
  * Sends a request, and sends it again elsewhere when that is safe.
@@ -56,6 +55,7 @@
         .onErrorResume(error -> again(work, sender, history.after(oneTry), oneTry, error));
   }
 
+  /** Runs one try; its room is given back before anyone hears of its end and may try again. */
   private <T> Flux<T> once(Work work, Assignment assignment, Sender<T> sender, OneTry oneTry) {
     return Flux.defer(
             () -> {
@@ -63,7 +63,8 @@
               return sender.send(assignment, oneTry);
             })
         .doOnError(oneTry::failed)
-        .doFinally(signal -> dispatcher.release(work.job().id(), oneTry.observation(signal)));
+        .doOnTerminate(() -> dispatcher.release(work.job().id(), oneTry.observation(false)))
+        .doOnCancel(() -> dispatcher.release(work.job().id(), oneTry.observation(true)));
   }
 
   private <T> Flux<T> again(
@@ -205,14 +206,14 @@
       return nanos.getAsLong() - startedAt;
     }
 
-    Observation observation(SignalType signal) {
-      Observation.Result result = result(signal);
+    Observation observation(boolean cancelled) {
+      Observation.Result result = result(cancelled);
       long now = nanos.getAsLong();
       long firstByte = firstByteAt == 0 ? now - startedAt : firstByteAt - startedAt;
       return new Observation(result, firstByte, now - startedAt, tokens);
     }
 
-    private Observation.Result result(SignalType signal) {
+    private Observation.Result result(boolean cancelled) {
       if (whole) {
         return Observation.Result.OK;
       }
@@ -220,9 +221,7 @@
         return Observation.Result.BUSY;
       }
       boolean callers = error.filter(RefusedException.class::isInstance).isPresent();
-      return signal == SignalType.CANCEL || callers
-          ? Observation.Result.CANCELLED
-          : Observation.Result.FAILED;
+      return cancelled || callers ? Observation.Result.CANCELLED : Observation.Result.FAILED;
     }
   }
 }
--- /dev/null
+++ b/integration/src/test/java/org/endivemux/integration/AtMostOnceTest.java
@@ -0,0 +1,165 @@
+package org.endivemux.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.Example;
+import org.endivemux.model.IdempotencyTime;
+import org.endivemux.testing.FaultProxy.Mode;
+
+/** Proves that a sale runs at most once and that a refusal tells the truth. */
+final class AtMostOnceTest {
+  @Example
+  void anotherBodyUnderTheSameKeyIsAnErrorAndOldKeysAreRefused() {
+    try (Cluster cluster = Cluster.started(1, 0)) {
+      String key = cluster.key("eggs");
+      Vm vm = cluster.vms.get(0);
+      String id = Cluster.newIdempotencyKey();
+      assertThat(Cluster.sale(vm, key, id, "{\"eggs\":1}").status()).isEqualTo(200);
+      assertThat(Cluster.sale(vm, key, id, "{\"eggs\":2}").reason())
+          .isEqualTo("IDEMPOTENCY_KEY_REUSED");
+      long twoDaysAgo = System.currentTimeMillis() - 48L * 3600 * 1000;
+      String old = IdempotencyTime.of(twoDaysAgo, 1, 2).value();
+      Http.Answer tooOld = Cluster.sale(vm, key, old, "{}");
+      assertThat(tooOld.reason()).isEqualTo("IDEMPOTENCY_KEY_TOO_OLD");
+      assertThat(tooOld.ran()).isEqualTo("outcome unknown");
+      assertThat(cluster.till.runsOf(old)).isZero();
+      String other = cluster.key("honey");
+      assertThat(Cluster.sale(vm, other, id, "{\"eggs\":2}").status())
+          .as("keys belong to organisations")
+          .isEqualTo(200);
+    }
+  }
+
+  @Example
+  void lostAnswerIsUnknownAndNeverSentAgain() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      cluster.till.loseAnswers(true);
+      Http.Answer lost = Cluster.sale(cluster.vms.get(0), key, id, "{}");
+      assertThat(lost.ran()).isEqualTo("outcome unknown");
+      cluster.till.loseAnswers(false);
+      Await.until(
+          "the claim is lost",
+          () -> Cluster.sale(cluster.vms.get(1), key, id, "{}").reason().equals("OUTCOME_LOST"));
+      assertThat(cluster.till.runsOf(id)).isEqualTo(1);
+    }
+  }
+
+  @Example
+  void refusedConnectionIsNotRunAndMayBeTriedAgain() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      cluster.tillProxy.close();
+      Http.Answer refused = Cluster.sale(cluster.vms.get(0), key, id, "{}");
+      assertThat(refused.reason()).isEqualTo("BACKEND_UNREACHABLE");
+      assertThat(refused.ran()).isEqualTo("not run");
+      assertThat(cluster.till.runsOf(id)).isZero();
+      assertThat(outcomeState(cluster.vms.get(1), key, id)).isEqualTo("RELEASED");
+    }
+  }
+
+  @Example
+  void ownerKilledWhileTheSaleIsUnderWayLeavesItUnknown() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      Vm owner = cluster.other(cluster.leader());
+      cluster.till.delay(3000);
+      CompletableFuture<Http.Answer> call = Cluster.saleAsync(owner, key, id);
+      Await.until("the sale runs", () -> cluster.till.runsOf(id) == 1);
+      owner.kill();
+      assertThat(call.join().status()).isZero();
+      Vm other = cluster.other(owner);
+      Await.until("the outcome is unknown", () -> outcomeState(other, key, id).equals("UNKNOWN"));
+      Http.Answer again = Cluster.sale(other, key, id, "{}");
+      assertThat(again.reason()).isEqualTo("OUTCOME_LOST");
+      assertThat(again.ran()).isEqualTo("outcome unknown");
+      assertThat(cluster.till.runsOf(id)).isEqualTo(1);
+    }
+  }
+
+  @Example
+  void leaderKilledWhileTheSaleIsUnderWayLosesNothing() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      Vm leader = cluster.leader();
+      Vm owner = cluster.other(leader);
+      cluster.till.delay(300);
+      CompletableFuture<Http.Answer> call = Cluster.saleAsync(owner, key, id);
+      Await.until("the sale runs", () -> cluster.till.runsOf(id) == 1);
+      leader.kill();
+      Http.Answer answer = call.join();
+      assertThat(answer.status()).isEqualTo(200);
+      Await.until("another leads", () -> cluster.leader() != leader);
+      assertThat(Cluster.sale(owner, key, id, "{}").body()).isEqualTo(answer.body());
+      assertThat(cluster.till.runsOf(id)).isEqualTo(1);
+    }
+  }
+
+  @Example
+  void frozenOwnerWakesUpWithoutASecondRun() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      Vm leader = cluster.leader();
+      Vm owner = cluster.other(leader);
+      cluster.till.delay(500);
+      CompletableFuture<Http.Answer> call = Cluster.saleAsync(owner, key, id);
+      Await.until("the sale runs", () -> cluster.till.runsOf(id) == 1);
+      owner.freeze();
+      Await.until(
+          "the owner counts as gone", () -> outcomeState(leader, key, id).equals("UNKNOWN"));
+      assertThat(Cluster.sale(leader, key, id, "{}").reason()).isEqualTo("OUTCOME_LOST");
+      owner.thaw();
+      assertThat(call.join().status()).isIn(200, 504, 502);
+      assertThat(cluster.till.runsOf(id)).isEqualTo(1);
+    }
+  }
+
+  @Example
+  void callerThatGoesAwayDoesNotStopTheSaleAndRepeatsGetItsAnswer() {
+    try (Cluster cluster = Cluster.started(1, 0)) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      Vm vm = cluster.vms.get(0);
+      cluster.till.delay(800);
+      RawCall call = RawCall.sale(vm, key, id);
+      Await.until("the sale runs", () -> cluster.till.runsOf(id) == 1);
+      call.close();
+      Await.until("it is recorded", () -> outcomeState(vm, key, id).equals("DONE"));
+      assertThat(Cluster.sale(vm, key, id, "{}").status()).isEqualTo(200);
+      assertThat(cluster.till.runsOf(id)).isEqualTo(1);
+    }
+  }
+
+  @Example
+  void silentServiceIsATimeoutWithUnknownOutcomeAndWithoutQuorumNothingRuns() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      Vm vm = cluster.leader();
+      cluster.tillProxy.mode(Mode.SILENT_FROM_TARGET);
+      Http.Answer silent = Cluster.sale(vm, key, id, "{}");
+      assertThat(silent.reason()).isEqualTo("BACKEND_TIMEOUT");
+      assertThat(silent.ran()).isEqualTo("outcome unknown");
+      cluster.tillProxy.mode(Mode.PASS);
+      cluster.vms.stream().filter(it -> it != vm).forEach(Vm::kill);
+      String second = Cluster.newIdempotencyKey();
+      Http.Answer refused = Cluster.sale(vm, key, second, "{}");
+      assertThat(refused.ran()).isEqualTo("not run");
+      assertThat(cluster.till.runsOf(second)).isZero();
+    }
+  }
+
+  private static String outcomeState(Vm vm, String key, String id) {
+    return Http.call("GET", vm.url("/v1/outcomes/" + id), key, Map.of(), "")
+        .json()
+        .path("state")
+        .asText();
+  }
+}
--- /dev/null
+++ b/integration/src/test/java/org/endivemux/integration/Cluster.java
@@ -0,0 +1,306 @@
+package org.endivemux.integration;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.endivemux.model.IdempotencyTime;
+import org.endivemux.model.Keys;
+import org.endivemux.testing.Engine;
+import org.endivemux.testing.EngineSettings;
+import org.endivemux.testing.FaultProxy;
+import org.endivemux.testing.PlainService;
+import org.endivemux.testing.Platform;
+
+/**
+ * Runs real daemons with every link between them, and every way to a backend server, through a
+ * fault proxy. Used by one test.
+ */
+final class Cluster implements AutoCloseable {
+  static final String OPERATOR = "emx_operator";
+  private static final AtomicInteger NEXT_PORT =
+      new AtomicInteger(20_000 + new Random().nextInt(50) * 200);
+  private static final Random IDS = new Random();
+
+  final List<Vm> vms = new ArrayList<>();
+  final List<Engine> engines = new ArrayList<>();
+  final List<FaultProxy> engineProxies = new ArrayList<>();
+  final PlainService till = new PlainService(0);
+  final FaultProxy tillProxy = new FaultProxy(0, till.port(), 1);
+  final Platform platform;
+  final FaultProxy platformProxy;
+  private final Map<String, FaultProxy> links = new HashMap<>();
+  private final Path folder;
+  private final int voters;
+
+  Cluster(int voters, int entries, boolean platformChecksFencing) {
+    this.voters = voters;
+    this.folder = makeFolder();
+    this.platform = new Platform(0, platformChecksFencing);
+    this.platformProxy = new FaultProxy(0, platform.port(), 2);
+    IntStream.range(0, 2).forEach(i -> addEngine());
+    IntStream.rangeClosed(1, voters + entries)
+        .forEach(i -> vms.add(new Vm("vm" + i, freePort(), freePort(), folder)));
+    vms.forEach(this::writeSettings);
+  }
+
+  /** Returns three voters that run, with a configuration in force. */
+  static Cluster started() {
+    return started(3, 0);
+  }
+
+  static Cluster started(int voters, int entries) {
+    Cluster cluster = new Cluster(voters, entries, true);
+    cluster.vms.forEach(Vm::start);
+    cluster.awaitReady();
+    cluster.configure();
+    return cluster;
+  }
+
+  private static Path makeFolder() {
+    try {
+      return Files.createTempDirectory("endivemux");
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private void addEngine() {
+    Engine engine = new Engine(0, EngineSettings.quick());
+    engines.add(engine);
+    engineProxies.add(new FaultProxy(0, engine.port(), engines.size()));
+  }
+
+  /** Returns a port below the range that the system gives to outgoing connections. */
+  private static int freePort() {
+    while (true) {
+      int port = NEXT_PORT.getAndIncrement();
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return socket.getLocalPort();
+      } catch (IOException e) {
+        // In use: try the next one.
+      }
+    }
+  }
+
+  private void writeSettings(Vm vm) {
+    int number = vms.indexOf(vm) + 1;
+    String named =
+        vms.stream()
+            .limit(voters)
+            .map(to -> to.name + ": \"127.0.0.1:" + peerPort(vm, to) + "\"")
+            .collect(Collectors.joining(", "));
+    String settings =
+        Stream.of(
+                "vm: " + vm.name,
+                "failureDomain: d" + ((number - 1) % 4 + 1),
+                "httpAddress: 127.0.0.1:" + vm.httpPort,
+                "peerAddress: 127.0.0.1:" + vm.peerPort,
+                number <= voters ? "dataFolder: " + vm.dataFolder() : "",
+                "voters: {" + named + "}",
+                "platform: 127.0.0.1:" + platformProxy.port(),
+                "operatorKeyDigest: " + Keys.digest(OPERATOR),
+                "entriesLifetimeSeconds: 1",
+                "usageWindowSeconds: 2",
+                "firstByteMillis: 4000",
+                "betweenBytesMillis: 1500")
+            .filter(line -> !line.isEmpty())
+            .collect(Collectors.joining("\n", "", "\n"));
+    try {
+      Files.writeString(vm.settings(), settings);
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private int peerPort(Vm from, Vm to) {
+    return from == to
+        ? to.peerPort
+        : links
+            .computeIfAbsent(
+                from.name + ">" + to.name, name -> new FaultProxy(0, to.peerPort, links.size()))
+            .port();
+  }
+
+  /** Sets what is done with bytes on the links from and to one VM. */
+  void links(Vm vm, FaultProxy.Mode mode) {
+    links.entrySet().stream()
+        .filter(
+            link ->
+                link.getKey().startsWith(vm.name + ">") || link.getKey().endsWith(">" + vm.name))
+        .forEach(link -> link.getValue().mode(mode));
+  }
+
+  /** Sets what is done with bytes on the links that one VM opened. */
+  void linksFrom(Vm vm, FaultProxy.Mode mode) {
+    links.entrySet().stream()
+        .filter(link -> link.getKey().startsWith(vm.name + ">"))
+        .forEach(link -> link.getValue().mode(mode));
+  }
+
+  void allLinks(java.util.function.Consumer<FaultProxy> action) {
+    links.values().forEach(action);
+  }
+
+  void awaitReady() {
+    Await.until("all VMs ready", () -> vms.stream().filter(Vm::wanted).allMatch(Cluster::isReady));
+  }
+
+  static boolean isReady(Vm vm) {
+    return Http.call("GET", vm.url("/readyz"), "", Map.of(), "").status() == 200;
+  }
+
+  String declaration(String... extraOrganisations) {
+    String organisations =
+        Stream.concat(Stream.of("eggs", "honey"), Stream.of(extraOrganisations))
+            .map(id -> "{\"id\":\"" + id + "\",\"share\":1,\"classes\":[\"summary\"]}")
+            .collect(Collectors.joining(","));
+    String servers =
+        IntStream.range(0, engines.size())
+            .mapToObj(
+                i -> server("engine-" + (i + 1), engineProxies.get(i).port(), i + 1, "assistant"))
+            .collect(Collectors.joining(","));
+    return "{\"organisations\":["
+        + organisations
+        + "],\"classes\":["
+        + requestClass("sale", 0, true, 300, 8000, 0)
+        + ","
+        + requestClass("chat", 1, false, 840, 8000, 0.1)
+        + ","
+        + requestClass("summary", 3, false, 60000, 60000, 0.05)
+        + "],\"routes\":["
+        + "{\"type\":\"MODEL\",\"name\":\"assistant\",\"requestClass\":\"chat\",\"repeatable\":true},"
+        + "{\"type\":\"SERVICE\",\"name\":\"till\",\"requestClass\":\"sale\",\"repeatable\":false}"
+        + "],\"backendServers\":["
+        + servers
+        + ","
+        + server("till-1", tillProxy.port(), 1, "till")
+        + "],\"budgetPerHour\":100}";
+  }
+
+  private static String requestClass(
+      String name, int tier, boolean isProtected, int target, int patience, double floor) {
+    return "{\"name\":\"%s\",\"tier\":%d,\"protectedTier\":%b,\"targetMillis\":%d,\"patienceMillis\":%d,\"floorShare\":%s}"
+        .formatted(name, tier, isProtected, target, patience, floor);
+  }
+
+  private static String server(String id, int port, int domain, String serves) {
+    return "{\"id\":\"%s\",\"address\":\"127.0.0.1:%d\",\"failureDomain\":\"d%d\",\"kind\":\"steady\",\"serves\":[\"%s\"],\"room\":16,\"costPerHour\":1,\"checksFencing\":true}"
+        .formatted(id, port, domain, serves);
+  }
+
+  /** Plans and confirms the declaration. */
+  Http.Answer configure(String... extraOrganisations) {
+    String plan = UUID.randomUUID().toString();
+    Http.Answer planned = plan(vms.get(0), plan, declaration(extraOrganisations));
+    if (planned.status() != 200) {
+      throw new AssertionError(planned.body());
+    }
+    return confirm(vms.get(0), plan);
+  }
+
+  static Http.Answer plan(Vm vm, String plan, String declaration) {
+    String body = "{\"plan\":\"" + plan + "\",\"declaration\":" + declaration + "}";
+    return Http.call("POST", vm.url("/v1/plans"), OPERATOR, Map.of(), body);
+  }
+
+  static Http.Answer confirm(Vm vm, String plan) {
+    return Http.call("POST", vm.url("/v1/plans/" + plan + "/confirm"), OPERATOR, Map.of(), "");
+  }
+
+  /** Makes a key for an organisation. */
+  String key(String organisation) {
+    String key = "emx_" + UUID.randomUUID();
+    String body =
+        "{\"digest\":\"%s\",\"organisation\":\"%s\",\"role\":\"CALLER\",\"label\":\"test\"}"
+            .formatted(Keys.digest(key), organisation);
+    Http.Answer made = Http.call("POST", vms.get(0).url("/v1/keys"), OPERATOR, Map.of(), body);
+    if (made.status() != 200) {
+      throw new AssertionError(made.body());
+    }
+    return key;
+  }
+
+  static Http.Answer withdraw(Vm vm, String key) {
+    return Http.call("DELETE", vm.url("/v1/keys/" + Keys.digest(key)), OPERATOR, Map.of(), "");
+  }
+
+  static String newIdempotencyKey() {
+    return IdempotencyTime.of(System.currentTimeMillis(), IDS.nextLong(), IDS.nextLong()).value();
+  }
+
+  static Http.Answer sale(Vm vm, String key, String idempotencyKey, String body) {
+    return Http.call(
+        "POST",
+        vm.url("/services/till/sales"),
+        key,
+        Map.of("Idempotency-Key", idempotencyKey),
+        body);
+  }
+
+  static java.util.concurrent.CompletableFuture<Http.Answer> saleAsync(
+      Vm vm, String key, String idempotencyKey) {
+    return Http.callAsync(
+        "POST",
+        vm.url("/services/till/sales"),
+        key,
+        Map.of("Idempotency-Key", idempotencyKey),
+        "{}");
+  }
+
+  static String chatBody(int tokens, boolean stream) {
+    return "{\"model\":\"assistant\",\"stream\":%b,\"max_tokens\":%d,\"messages\":[{\"role\":\"user\",\"content\":\"eggs?\"}]}"
+        .formatted(stream, tokens);
+  }
+
+  static Http.Answer chat(Vm vm, String key, int tokens, boolean stream) {
+    return Http.call(
+        "POST", vm.url("/v1/chat/completions"), key, Map.of(), chatBody(tokens, stream));
+  }
+
+  /** Returns the leader's report as some VM tells it. */
+  com.fasterxml.jackson.databind.JsonNode status() {
+    return vms.stream()
+        .filter(Vm::runs)
+        .map(vm -> Http.call("GET", vm.url("/v1/status"), OPERATOR, Map.of(), ""))
+        .filter(answer -> answer.status() == 200)
+        .findFirst()
+        .orElseThrow(() -> new AssertionError("No leader tells its state."))
+        .json();
+  }
+
+  Vm leader() {
+    return vm(status().path("leader").asText());
+  }
+
+  Vm vm(String name) {
+    return vms.stream().filter(vm -> vm.name.equals(name)).findFirst().orElseThrow();
+  }
+
+  Vm other(Vm vm) {
+    return vms.stream().filter(it -> it != vm).findFirst().orElseThrow();
+  }
+
+  @Override
+  public void close() {
+    vms.forEach(Vm::kill);
+    links.values().forEach(FaultProxy::close);
+    engineProxies.forEach(FaultProxy::close);
+    engines.forEach(Engine::close);
+    tillProxy.close();
+    till.close();
+    platformProxy.close();
+    platform.close();
+  }
+}
--- /dev/null
+++ b/integration/src/test/java/org/endivemux/integration/KeyTest.java
@@ -0,0 +1,80 @@
+package org.endivemux.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.endivemux.testing.FaultProxy.Mode;
+
+/** Proves that withdrawn keys and stale entries stop serving. */
+final class KeyTest {
+  private static final Duration BOUND = Duration.ofSeconds(5);
+
+  @Example
+  void withdrawnKeyStopsOnOpenConnectionsAndStreams() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      String kept = cluster.key("honey");
+      Vm vm = cluster.vms.get(2);
+      try (RawCall stream = RawCall.chat(vm, key, Cluster.chatBody(100_000, true));
+          RawCall other = RawCall.chat(vm, kept, Cluster.chatBody(100_000, true))) {
+        stream.readUntil("w2 ");
+        other.readUntil("w2 ");
+        long start = System.nanoTime();
+        assertThat(Cluster.withdraw(cluster.vms.get(0), key).json().path("in_force").asBoolean())
+            .isTrue();
+        String rest = stream.readUntil("KEY_WITHDRAWN_IN_STREAM");
+        assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(BOUND);
+        assertThat(rest).contains("KEY_WITHDRAWN_IN_STREAM").doesNotContain("[DONE]");
+        assertThat(other.readUntil("w9 ")).contains("w9 ");
+      }
+      cluster.vms.forEach(
+          it -> assertThat(Cluster.chat(it, key, 1, false).reason()).isEqualTo("KEY_WITHDRAWN"));
+      assertThat(Cluster.chat(vm, kept, 1, false).status()).isEqualTo(200);
+    }
+  }
+
+  @Example
+  void entryCutOffFromTheLeaderRefusesAndIsNoLongerNamed() {
+    try (Cluster cluster = Cluster.started(3, 1)) {
+      String key = cluster.key("eggs");
+      Vm entry = cluster.vms.get(3);
+      Http.Answer before = Cluster.chat(entry, key, 1, false);
+      assertThat(before.status()).as(before.body()).isEqualTo(200);
+      cluster.linksFrom(entry, Mode.SILENT);
+      long start = System.nanoTime();
+      Await.until(
+          "the entry refuses",
+          () -> Cluster.chat(entry, key, 1, false).reason().equals("STALE_STATE"));
+      assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(BOUND);
+      assertThat(Cluster.sale(entry, key, Cluster.newIdempotencyKey(), "{}").ran())
+          .isEqualTo("not run");
+      Await.until("it does not name itself", () -> !entriesOf(entry).contains("\"vm4\""));
+      Await.until(
+          "others do not name it", () -> !entriesOf(cluster.vms.get(0)).contains("\"vm4\""));
+      assertThat(Cluster.withdraw(cluster.vms.get(0), key).status()).isEqualTo(200);
+      cluster.linksFrom(entry, Mode.PASS);
+      Await.until("it is fresh again", () -> Cluster.isReady(entry));
+      assertThat(Cluster.chat(entry, key, 1, false).reason()).isEqualTo("KEY_WITHDRAWN");
+    }
+  }
+
+  @Example
+  void frozenEntryServesNothingByOldStateWhenItWakesUp() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      Vm entry = cluster.other(cluster.leader());
+      Vm operator = cluster.leader();
+      entry.freeze();
+      assertThat(Cluster.withdraw(operator, key).status()).isEqualTo(200);
+      entry.thaw();
+      Http.Answer answer = Cluster.chat(entry, key, 1, false);
+      assertThat(answer.reason()).isIn("STALE_STATE", "KEY_WITHDRAWN");
+    }
+  }
+
+  private static String entriesOf(Vm vm) {
+    return Http.call("GET", vm.url("/v1/entries"), "", Map.of(), "").body();
+  }
+}
--- a/routing/src/main/java/org/endivemux/routing/RetryBudget.java
+++ b/routing/src/main/java/org/endivemux/routing/RetryBudget.java
@@ -13,18 +13,22 @@
 public final class RetryBudget {
   private static final int REQUESTS_PER_RETRY = 5;
   private static final int RESERVE = 10;
+  private static final int FULL = RESERVE * REQUESTS_PER_RETRY;
 
   private final Map<ClassName, Integer> credits = new HashMap<>();
 
   /** Notes a new request. */
   public synchronized void requested(ClassName requestClass) {
-    credits.merge(
-        requestClass, 1, (known, one) -> Math.min(RESERVE * REQUESTS_PER_RETRY, known + one));
+    credits.put(requestClass, Math.min(FULL, creditsOf(requestClass) + 1));
+  }
+
+  private int creditsOf(ClassName requestClass) {
+    return credits.getOrDefault(requestClass, FULL);
   }
 
   /** Takes one retry out of the budget; returns false when there is none. */
   public synchronized boolean tryRetry(ClassName requestClass) {
-    int known = credits.getOrDefault(requestClass, RESERVE * REQUESTS_PER_RETRY);
+    int known = creditsOf(requestClass);
     if (known < REQUESTS_PER_RETRY) {
       return false;
     }
--- a/testing/src/main/java/org/endivemux/testing/PlainService.java
+++ b/testing/src/main/java/org/endivemux/testing/PlainService.java
@@ -70,12 +70,14 @@
     long count = runs.computeIfAbsent(key, none -> new AtomicLong()).incrementAndGet();
     Map<String, Object> answer = Map.of("run", count, "path", uri, "length", body.length());
     Mono<Void> sent =
-        losesAnswers
-            ? Mono.error(new IllegalStateException("This answer gets lost, as it was told to."))
-            : StandIn.send(response, Reply.ok(answer));
+        losesAnswers ? breakConnection(response) : StandIn.send(response, Reply.ok(answer));
     return delayMillis == 0 ? sent : Mono.delay(Duration.ofMillis(delayMillis)).then(sent);
   }
 
+  private static Mono<Void> breakConnection(HttpServerResponse response) {
+    return Mono.fromRunnable(() -> response.withConnection(connection -> connection.dispose()));
+  }
+
   /** Returns runs, distinct keys, keys that ran more than once, and callers' keys seen. */
   public Map<String, Long> stats() {
     long total = runs.values().stream().mapToLong(AtomicLong::get).sum();
