Keep the log open while draining; send configuration as differences

Cause: ShutdownTest was red: events after SIGTERM were not logged, because a logger made in the main class's initializer set up the platform's log manager before ours was named. And each configuration change carried the whole declaration to every entry, which grows with the organisations.

Change: the main class logs nothing; a change carries removed ids and changed items only (DeclarationDelta, with a property over the wire).

Ruled out: a shutdown hook order; the stream and the sale were whole in the red run, only the log lines were missing.

--- a/control/src/main/java/org/endivemux/control/state/ControlState.java
+++ b/control/src/main/java/org/endivemux/control/state/ControlState.java
@@ -95,7 +95,8 @@
     long before = plans.version();
     Answer answer = plans.confirm(command, index);
     if (plans.version() != before) {
-      publish(index, new ViewChange.Configured(plans.version(), plans.declaration()));
+      DeclarationDelta delta = DeclarationDelta.between(view.declaration(), plans.declaration());
+      publish(index, new ViewChange.Configured(plans.version(), delta));
     }
     return answer;
   }
--- a/control/src/main/java/org/endivemux/control/state/EntryView.java
+++ b/control/src/main/java/org/endivemux/control/state/EntryView.java
@@ -55,7 +55,8 @@
   /** Returns the view after a change at a revision. */
   public EntryView apply(long newRevision, ViewChange change) {
     if (change instanceof ViewChange.Configured it) {
-      return new EntryView(newRevision, it.version(), it.declaration(), keys, leaving);
+      Declaration changed = it.delta().applyTo(declaration);
+      return new EntryView(newRevision, it.version(), changed, keys, leaving);
     }
     if (change instanceof ViewChange.KeyChanged it) {
       var changed = keys.put(it.digest(), it.info());
--- a/control/src/main/java/org/endivemux/control/state/ViewChange.java
+++ b/control/src/main/java/org/endivemux/control/state/ViewChange.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.endivemux.model.BackendServerId;
-import org.endivemux.model.Declaration;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyInfo;
 
@@ -15,7 +14,7 @@
   @JsonSubTypes.Type(value = ViewChange.LeavingChanged.class, name = "l")
 })
 public sealed interface ViewChange {
-  record Configured(long version, Declaration declaration) implements ViewChange {}
+  record Configured(long version, DeclarationDelta delta) implements ViewChange {}
 
   record KeyChanged(KeyDigest digest, KeyInfo info) implements ViewChange {}
 
--- /dev/null
+++ b/control/src/test/java/org/endivemux/control/state/DeclarationDeltaTest.java
@@ -0,0 +1,41 @@
+package org.endivemux.control.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.endivemux.model.Declaration;
+import org.endivemux.model.Declaration.Organisation;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.wire.MessagePackCodec;
+
+/** Shows that a delta carries one declaration into another, also over the wire. */
+final class DeclarationDeltaTest {
+  @Property(tries = 200, seed = "7")
+  void deltaGivesThePartsOfTheNewDeclaration(
+      @ForAll @Size(max = 8) Set<@IntRange(max = 9) Integer> before,
+      @ForAll @Size(max = 8) Set<@IntRange(max = 9) Integer> after,
+      @ForAll @IntRange(min = 1, max = 3) int share) {
+    Declaration old = declaration(before, 1);
+    Declaration fresh = declaration(after, share);
+    byte[] bytes =
+        MessagePackCodec.encode(new ViewChange.Configured(2, DeclarationDelta.between(old, fresh)));
+    ViewChange.Configured sent =
+        (ViewChange.Configured) MessagePackCodec.decode(bytes, ViewChange.class);
+    Declaration result = sent.delta().applyTo(old);
+    assertThat(result.organisations()).containsExactlyInAnyOrderElementsOf(fresh.organisations());
+    assertThat(result.budgetPerHour()).isEqualTo(fresh.budgetPerHour());
+  }
+
+  private static Declaration declaration(Set<Integer> organisations, int share) {
+    List<Organisation> list =
+        organisations.stream()
+            .map(i -> new Organisation(new OrganisationId("org" + i), share, List.of()))
+            .toList();
+    return new Declaration(list, List.of(), List.of(), List.of(), share);
+  }
+}
--- a/daemon/src/main/java/org/endivemux/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonMain.java
@@ -1,29 +1,16 @@
 package org.endivemux.daemon;
 
-import com.google.common.flogger.FluentLogger;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Path;
-import joptsimple.OptionException;
-import joptsimple.OptionParser;
-import joptsimple.OptionSet;
-import joptsimple.OptionSpec;
-import org.endivemux.control.voter.Clocks;
-import org.endivemux.storage.StorageException;
-import org.endivemux.wire.WireException;
-import reactor.netty.ChannelBindException;
-
-/** Starts the daemon from its command line. */
+/**
+ * Starts the daemon from its command line.
+ *
+ * <p>Nothing here logs, so that the log is set up before the first logger is made.
+ */
 public final class DaemonMain {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final int USAGE_ERROR = 2;
-  private static final int DATA_ERROR = 70;
-
   private DaemonMain() {}
 
   public static void main(String[] args) throws InterruptedException {
     Logging.start();
-    int status = run(args);
+    int status = DaemonProcess.run(args);
     if (status >= 0) {
       System.exit(status);
     }
@@ -34,69 +21,4 @@
   private static void keepRunning() throws InterruptedException {
     Thread.currentThread().join();
   }
-
-  /** Returns an exit status, or a negative number when the daemon runs on. */
-  private static int run(String[] args) {
-    OptionParser parser = new OptionParser();
-    OptionSpec<String> file =
-        parser.accepts("settings", "the settings file in YAML").withRequiredArg().required();
-    OptionSpec<Void> check = parser.accepts("check", "only check the settings");
-    OptionSpec<Void> help = parser.accepts("help", "show this help").forHelp();
-    try {
-      OptionSet options = parser.parse(args);
-      if (options.has(help)) {
-        parser.printHelpOn(System.out);
-        return 0;
-      }
-      Settings settings = SettingsReader.read(Path.of(options.valueOf(file)));
-      return options.has(check) ? checked(settings) : start(options.valueOf(file), settings);
-    } catch (OptionException e) {
-      return fail(e.getMessage() + "; use --settings FILE, --check or --help.");
-    } catch (SettingsException e) {
-      return fail(e.getMessage());
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
-  }
-
-  private static int checked(Settings settings) {
-    System.out.println("The settings of " + settings.vm() + " are sound.");
-    return 0;
-  }
-
-  private static int start(String file, Settings settings) {
-    try {
-      Daemon daemon = new Daemon(settings, Clocks.system(), DaemonMain::die).start();
-      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "drain"));
-      return -1;
-    } catch (ChannelBindException e) {
-      return fail(
-          file
-              + ": "
-              + (e.localPort() == settings.httpAddress().getPort() ? "httpAddress" : "peerAddress")
-              + ": the port "
-              + e.localPort()
-              + " is in use; stop the other process or name another port.");
-    } catch (WireException e) {
-      return fail(file + ": tls: " + e.getMessage());
-    } catch (StorageException e) {
-      logger.atSevere().log("event=data_folder_unusable cause=\"%s\"", e.getMessage());
-      return DATA_ERROR;
-    }
-  }
-
-  private static void stop(Daemon daemon) {
-    daemon.stop().block();
-    logger.atInfo().log("event=stopped");
-  }
-
-  private static void die(Throwable error) {
-    logger.atSevere().withCause(error).log("event=fatal remedy=\"see the page on lost disks\"");
-    Runtime.getRuntime().halt(DATA_ERROR);
-  }
-
-  private static int fail(String message) {
-    System.err.println(message);
-    return USAGE_ERROR;
-  }
 }
