--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -31,6 +31,7 @@
 import org.endivemux.routing.Scheduler;
 import org.endivemux.storage.DataFolder;
 import org.endivemux.wire.Hello;
+import org.endivemux.wire.LinkMetrics;
 import org.endivemux.wire.LinkTiming;
 import org.endivemux.wire.MessagePackCodec;
 import org.endivemux.wire.PeerLink;
@@ -51,6 +52,7 @@
   private final Clocks clocks;
   private final Consumer<Throwable> fatal;
   private final MetricRegistry metrics = new MetricRegistry();
+  private final LinkMetrics linkMetrics = LinkMetrics.of(metrics);
   private final Lifecycle lifecycle = new Lifecycle();
   private final Hello hello;
   private final PeerSecurity security;
@@ -77,7 +79,9 @@
     this.voterLinks =
         settings.voters().entrySet().stream()
             .filter(voter -> !voter.getKey().equals(settings.vm()))
-            .collect(Collectors.toMap(Map.Entry::getKey, voter -> link(voter.getValue())));
+            .collect(
+                Collectors.toMap(
+                    Map.Entry::getKey, voter -> link(voter.getValue(), LinkTiming.standard())));
     this.voter = settings.dataFolder().map(DataFolder::open).map(this::voter);
     EntryRegistry registry = new EntryRegistry();
     UsageInbox inbox = new UsageInbox();
@@ -101,7 +105,7 @@
             Daemon::exitSoon,
             clocks,
             metrics);
-    this.digests = new DigestExchange(settings.vm(), follower::entries, dispatcher, this::link);
+    this.digests = new DigestExchange(settings.vm(), follower::entries, dispatcher, this::hintLink);
   }
 
   private static Incarnation incarnation(Clocks clocks) {
@@ -113,8 +117,12 @@
     return "p" + ProcessHandle.current().pid();
   }
 
-  private PeerLink link(InetSocketAddress address) {
-    return new PeerLink(address, hello, security, LinkTiming.standard()).start();
+  private PeerLink link(InetSocketAddress address, LinkTiming timing) {
+    return new PeerLink(address, hello, security, timing, linkMetrics).start();
+  }
+
+  private PeerLink hintLink(InetSocketAddress address) {
+    return link(address, LinkTiming.relaxed());
   }
 
   private Voter voter(DataFolder folder) {
@@ -158,7 +166,7 @@
         settings.failureDomain(),
         text(settings.httpAddress()),
         text(settings.peerAddress()),
-        lifecycle.isAnnounced());
+        lifecycle.isAnnounced() && !settings.controlOnly());
   }
 
   private static String text(InetSocketAddress address) {
@@ -174,7 +182,7 @@
   public Daemon start() {
     PeerRouter router = new PeerRouter(voter, service, dispatcher);
     PeerServer peers =
-        new PeerServer(settings.peerAddress(), router, security, LinkTiming.standard());
+        new PeerServer(settings.peerAddress(), router, security, LinkTiming.relaxed(), linkMetrics);
     peers.start();
     httpListener = entry.start(settings.httpAddress());
     voter.ifPresent(Voter::start);
--- a/daemon/src/main/java/org/endivemux/daemon/Settings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Settings.java
@@ -13,7 +13,8 @@
 /**
  * Holds checked settings of one process.
  *
- * <p>Invariant: a process with a data folder is one of the named voters. Immutable and thread-safe.
+ * <p>Invariants: a process with a data folder is one of the named voters; one that is for control
+ * only is a voter, and callers are never told of it. Immutable and thread-safe.
  */
 public record Settings(
     VmId vm,
@@ -21,6 +22,7 @@
     InetSocketAddress httpAddress,
     InetSocketAddress peerAddress,
     Optional<Path> dataFolder,
+    boolean controlOnly,
     Map<VmId, InetSocketAddress> voters,
     Optional<String> platform,
     Optional<KeyDigest> operatorKeyDigest,
--- a/daemon/src/main/java/org/endivemux/daemon/SettingsFile.java
+++ b/daemon/src/main/java/org/endivemux/daemon/SettingsFile.java
@@ -11,6 +11,7 @@
     @JsonProperty("httpAddress") Optional<String> httpAddress,
     @JsonProperty("peerAddress") Optional<String> peerAddress,
     @JsonProperty("dataFolder") Optional<String> dataFolder,
+    @JsonProperty("controlOnly") Optional<Boolean> controlOnly,
     @JsonProperty("voters") Optional<Map<String, String>> voters,
     @JsonProperty("platform") Optional<String> platform,
     @JsonProperty("operatorKeyDigest") Optional<String> operatorKeyDigest,
--- a/daemon/src/main/java/org/endivemux/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/endivemux/daemon/SettingsReader.java
@@ -56,12 +56,14 @@
     VmId vm = id("vm", required("vm", raw.vm()), VmId::new);
     Optional<Path> dataFolder = raw.dataFolder().map(Path::of);
     checkVoter(vm, voters, dataFolder);
+    checkControlOnly(raw, dataFolder);
     return new Settings(
         vm,
         id("failureDomain", required("failureDomain", raw.failureDomain()), FailureDomain::new),
         address("httpAddress", required("httpAddress", raw.httpAddress())),
         address("peerAddress", required("peerAddress", raw.peerAddress())),
         dataFolder,
+        raw.controlOnly().orElse(false),
         voters,
         raw.platform().map(text -> checkedAddress("platform", text)),
         raw.operatorKeyDigest().map(this::digest),
@@ -73,11 +75,11 @@
 
   private SettingsFile parse() {
     try {
-      SettingsFile raw = YAML.readValue(Files.readAllBytes(file), SettingsFile.class);
-      if (raw == null) {
-        throw fault("file", "it is empty; write the settings into it.");
+      byte[] text = Files.readAllBytes(file);
+      if (YAML.readTree(text).isEmpty()) {
+        throw fault("file", "it holds no settings; write them as key: value lines.");
       }
-      return raw;
+      return YAML.readValue(text, SettingsFile.class);
     } catch (UnrecognizedPropertyException e) {
       throw fault(e.getPropertyName(), "this key is unknown; correct or remove it.");
     } catch (JsonMappingException e) {
@@ -141,6 +143,12 @@
     }
   }
 
+  private void checkControlOnly(SettingsFile raw, Optional<Path> dataFolder) {
+    if (raw.controlOnly().orElse(false) && dataFolder.isEmpty()) {
+      throw fault("controlOnly", "this VM is no voter, so it would do nothing; remove the key.");
+    }
+  }
+
   private String policy(SettingsFile raw) {
     String policy = raw.policy().orElse("least-cost");
     try {
--- a/entry/src/main/java/org/endivemux/entry/Admission.java
+++ b/entry/src/main/java/org/endivemux/entry/Admission.java
@@ -7,8 +7,10 @@
 import org.endivemux.model.Declaration.RequestClass;
 import org.endivemux.model.Declaration.Route;
 import org.endivemux.model.DeclarationIndex;
+import org.endivemux.model.KeyRole;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
+import reactor.core.publisher.Mono;
 
 /**
  * Checks what must hold before an entry works on a request.
@@ -18,11 +20,17 @@
 final class Admission {
   static final String CLASS_HEADER = "x-endivemux-class";
 
+  private final Authenticator authenticator;
   private final Supplier<DeclarationIndex> declared;
   private final BooleanSupplier isFresh;
   private final BooleanSupplier isOpen;
 
-  Admission(Supplier<DeclarationIndex> declared, BooleanSupplier isFresh, BooleanSupplier isOpen) {
+  Admission(
+      Authenticator authenticator,
+      Supplier<DeclarationIndex> declared,
+      BooleanSupplier isFresh,
+      BooleanSupplier isOpen) {
+    this.authenticator = authenticator;
     this.declared = declared;
     this.isFresh = isFresh;
     this.isOpen = isOpen;
@@ -36,6 +44,14 @@
     return isFresh.getAsBoolean() ? Optional.empty() : Optional.of(Reason.STALE_STATE);
   }
 
+  /** Returns who sends a request; fails with a refusal when the entry may not work on it. */
+  Mono<Caller> caller(Exchange exchange) {
+    return closed()
+        .<Either<Reason, Caller>>map(Either::left)
+        .orElseGet(() -> authenticator.caller(exchange.request(), KeyRole.CALLER))
+        .fold(reason -> Mono.error(new RefusedException(reason)), Mono::just);
+  }
+
   /** Returns the declared route. */
   Either<Reason, Route> route(Route.Type type, String name) {
     Reason unknown = type == Route.Type.MODEL ? Reason.UNKNOWN_MODEL : Reason.UNKNOWN_SERVICE;
--- a/entry/src/main/java/org/endivemux/entry/ChatHandler.java
+++ b/entry/src/main/java/org/endivemux/entry/ChatHandler.java
@@ -21,7 +21,6 @@
   private static final SseEvent KEEP_ALIVE = SseEvent.ofText(": keep-alive\n\n");
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private final Authenticator authenticator;
   private final Admission admission;
   private final Tries tries;
   private final BackendClient client;
@@ -32,7 +31,6 @@
   private final LongSupplier nanos;
 
   ChatHandler(
-      Authenticator authenticator,
       Admission admission,
       Tries tries,
       BackendClient client,
@@ -41,7 +39,6 @@
       Counters counters,
       Limits limits,
       LongSupplier nanos) {
-    this.authenticator = authenticator;
     this.admission = admission;
     this.tries = tries;
     this.client = client;
@@ -54,16 +51,7 @@
 
   Mono<Void> handle(Exchange exchange) {
     long arrivedAt = nanos.getAsLong();
-    return admission
-        .closed()
-        .<Mono<Void>>map(reason -> Mono.error(new RefusedException(reason)))
-        .orElseGet(
-            () ->
-                authenticator
-                    .caller(exchange.request(), org.endivemux.model.KeyRole.CALLER)
-                    .fold(
-                        reason -> Mono.error(new RefusedException(reason)),
-                        caller -> handle(exchange, caller, arrivedAt)));
+    return admission.caller(exchange).flatMap(caller -> handle(exchange, caller, arrivedAt));
   }
 
   private Mono<Void> handle(Exchange exchange, Caller caller, long arrivedAt) {
--- a/entry/src/main/java/org/endivemux/entry/Entry.java
+++ b/entry/src/main/java/org/endivemux/entry/Entry.java
@@ -64,23 +64,14 @@
     this.limits = limits;
     this.authenticator = new Authenticator(follower::view, bootstrapOperator);
     Counters counters = new Counters(metrics);
-    Admission admission = new Admission(() -> declared, follower::isFresh, lifecycle::isOpen);
+    Admission admission =
+        new Admission(authenticator, () -> declared, follower::isFresh, lifecycle::isOpen);
     Tries tries = new Tries(dispatcher, new RetryBudget(), counters, clocks::nanos);
     BackendClient client = new BackendClient(limits, counters);
     ChatHandler chat =
-        new ChatHandler(
-            authenticator,
-            admission,
-            tries,
-            client,
-            inFlight,
-            usage,
-            counters,
-            limits,
-            clocks::nanos);
+        new ChatHandler(admission, tries, client, inFlight, usage, counters, limits, clocks::nanos);
     ServiceHandler services =
         new ServiceHandler(
-            authenticator,
             admission,
             tries,
             new AtMostOnce(control, tries, client, limits),
--- a/entry/src/main/java/org/endivemux/entry/ServiceHandler.java
+++ b/entry/src/main/java/org/endivemux/entry/ServiceHandler.java
@@ -11,7 +11,6 @@
 import org.endivemux.model.IdempotencyKey;
 import org.endivemux.model.IdempotencyTime;
 import org.endivemux.model.Incarnation;
-import org.endivemux.model.KeyRole;
 import org.endivemux.model.Keys;
 import org.endivemux.model.Reason;
 import org.endivemux.model.UsageTotals;
@@ -30,7 +29,6 @@
   private static final String IDEMPOTENCY_KEY = "idempotency-key";
   private static final double NANOS_PER_MILLI = 1e6;
 
-  private final Authenticator authenticator;
   private final Admission admission;
   private final Tries tries;
   private final AtMostOnce atMostOnce;
@@ -44,7 +42,6 @@
   private final Incarnation incarnation;
 
   ServiceHandler(
-      Authenticator authenticator,
       Admission admission,
       Tries tries,
       AtMostOnce atMostOnce,
@@ -56,7 +53,6 @@
       LongSupplier nanos,
       VmId vm,
       Incarnation incarnation) {
-    this.authenticator = authenticator;
     this.admission = admission;
     this.tries = tries;
     this.atMostOnce = atMostOnce;
@@ -72,16 +68,7 @@
 
   Mono<Void> handle(Exchange exchange) {
     long arrivedAt = nanos.getAsLong();
-    return admission
-        .closed()
-        .<Mono<Void>>map(reason -> Mono.error(new RefusedException(reason)))
-        .orElseGet(
-            () ->
-                authenticator
-                    .caller(exchange.request(), KeyRole.CALLER)
-                    .fold(
-                        reason -> Mono.error(new RefusedException(reason)),
-                        caller -> handle(exchange, caller, arrivedAt)));
+    return admission.caller(exchange).flatMap(caller -> handle(exchange, caller, arrivedAt));
   }
 
   private Mono<Void> handle(Exchange exchange, Caller caller, long arrivedAt) {
--- a/integration/src/test/java/org/endivemux/integration/Cluster.java
+++ b/integration/src/test/java/org/endivemux/integration/Cluster.java
@@ -43,13 +43,27 @@
   private final Map<String, FaultProxy> links = new HashMap<>();
   private final Path folder;
   private final int voters;
+  private final String policy;
+  private final EngineSettings engineSettings;
 
   Cluster(int voters, int entries, boolean platformChecksFencing) {
+    this(voters, entries, platformChecksFencing, 2, EngineSettings.quick(), "least-cost");
+  }
+
+  Cluster(
+      int voters,
+      int entries,
+      boolean platformChecksFencing,
+      int engineCount,
+      EngineSettings engineSettings,
+      String policy) {
     this.voters = voters;
+    this.policy = policy;
+    this.engineSettings = engineSettings;
     this.folder = makeFolder();
     this.platform = new Platform(0, platformChecksFencing);
     this.platformProxy = new FaultProxy(0, platform.port(), 2);
-    IntStream.range(0, 2).forEach(i -> addEngine());
+    IntStream.range(0, engineCount).forEach(i -> addEngine());
     IntStream.rangeClosed(1, voters + entries)
         .forEach(i -> vms.add(new Vm("vm" + i, freePort(), freePort(), folder)));
     vms.forEach(this::writeSettings);
@@ -77,7 +91,7 @@
   }
 
   private void addEngine() {
-    Engine engine = new Engine(0, EngineSettings.quick());
+    Engine engine = new Engine(0, engineSettings);
     engines.add(engine);
     engineProxies.add(new FaultProxy(0, engine.port(), engines.size()));
   }
@@ -110,6 +124,7 @@
                 number <= voters ? "dataFolder: " + vm.dataFolder() : "",
                 "voters: {" + named + "}",
                 "platform: 127.0.0.1:" + platformProxy.port(),
+                "policy: " + policy,
                 "operatorKeyDigest: " + Keys.digest(OPERATOR),
                 "entriesLifetimeSeconds: 1",
                 "usageWindowSeconds: 2",
@@ -169,7 +184,14 @@
     String servers =
         IntStream.range(0, engines.size())
             .mapToObj(
-                i -> server("engine-" + (i + 1), engineProxies.get(i).port(), i + 1, "assistant"))
+                i ->
+                    server(
+                        "engine-" + (i + 1),
+                        engineProxies.get(i).port(),
+                        engines.size() > 2 && i % 2 == 1 ? "cheap" : "steady",
+                        i / 2 % 4 + 1,
+                        "assistant",
+                        engineSettings.slots()))
             .collect(Collectors.joining(","));
     return "{\"organisations\":["
         + organisations
@@ -185,7 +207,7 @@
         + "],\"backendServers\":["
         + servers
         + ","
-        + server("till-1", tillProxy.port(), 1, "till")
+        + server("till-1", tillProxy.port(), "steady", 1, "till", 64)
         + "],\"budgetPerHour\":100}";
   }
 
@@ -195,9 +217,10 @@
         .formatted(name, tier, isProtected, target, patience, floor);
   }
 
-  private static String server(String id, int port, int domain, String serves) {
-    return "{\"id\":\"%s\",\"address\":\"127.0.0.1:%d\",\"failureDomain\":\"d%d\",\"kind\":\"steady\",\"serves\":[\"%s\"],\"room\":16,\"costPerHour\":1,\"checksFencing\":true}"
-        .formatted(id, port, domain, serves);
+  private static String server(
+      String id, int port, String kind, int domain, String serves, int room) {
+    return "{\"id\":\"%s\",\"address\":\"127.0.0.1:%d\",\"failureDomain\":\"d%d\",\"kind\":\"%s\",\"serves\":[\"%s\"],\"room\":%d,\"costPerHour\":1,\"checksFencing\":true}"
+        .formatted(id, port, domain, kind, serves, room);
   }
 
   /** Plans and confirms the declaration. */
--- a/integration/src/test/java/org/endivemux/integration/Http.java
+++ b/integration/src/test/java/org/endivemux/integration/Http.java
@@ -86,6 +86,13 @@
     }
   }
 
+  /** Opens an answer whose body is read as it comes. */
+  static CompletableFuture<HttpResponse<InputStream>> openAsync(
+      String url, String key, Map<String, String> headers, String body) {
+    return CLIENT.sendAsync(
+        request("POST", url, key, headers, body), HttpResponse.BodyHandlers.ofInputStream());
+  }
+
   private static HttpRequest request(
       String method, String url, String key, Map<String, String> headers, String body) {
     HttpRequest.Builder request =
--- a/integration/src/test/java/org/endivemux/integration/Vm.java
+++ b/integration/src/test/java/org/endivemux/integration/Vm.java
@@ -55,7 +55,7 @@
                   "-XX:+PerfDisableSharedMem",
                   "-XX:+UseSerialGC",
                   "-XX:TieredStopAtLevel=1",
-                  "-Xmx128m",
+                  "-Xmx" + System.getProperty("vm.heap", "128m"),
                   "-cp",
                   System.getProperty("java.class.path"),
                   DaemonMain.class.getName(),
@@ -69,6 +69,10 @@
     }
   }
 
+  long pid() {
+    return process.pid();
+  }
+
   boolean runs() {
     return process != null && process.isAlive();
   }
--- /dev/null
+++ b/storage/src/test/java/org/endivemux/storage/DataFolderTest.java
@@ -0,0 +1,127 @@
+package org.endivemux.storage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.endivemux.consensus.Effects.Persist;
+import org.endivemux.consensus.HardState;
+import org.endivemux.consensus.LogEntry;
+import org.endivemux.consensus.Membership;
+import org.endivemux.consensus.Recovered;
+import org.endivemux.consensus.Snapshot;
+import org.endivemux.model.Bytes;
+import org.endivemux.model.DiskId;
+
+/** Shows what a data folder keeps over restarts, torn writes and damage. */
+final class DataFolderTest {
+  private final Path folder = makeFolder();
+
+  @Example
+  void keepsDiskIdHardStateAndEntries() {
+    DiskId disk = write(entries(1, 3), entries(3, 5));
+    Recovered recovered = reopen();
+    assertThat(recovered.disk()).isEqualTo(disk);
+    assertThat(recovered.hardState().term()).isEqualTo(2);
+    assertThat(recovered.entries()).extracting(LogEntry::index).containsExactly(1L, 2L, 3L, 4L, 5L);
+  }
+
+  @Example
+  void snapshotReplacesTheEntriesBeforeIt() {
+    Snapshot snapshot = new Snapshot(2, 2, new Membership(List.of()), Bytes.ofUtf8("state"));
+    write(entries(1, 4), new Persist(Optional.empty(), Optional.of(snapshot), List.of()));
+    assertThat(reopen().snapshot()).isEqualTo(snapshot);
+    assertThat(reopen().entries()).extracting(LogEntry::index).containsExactly(3L, 4L);
+  }
+
+  @Example
+  void snapshotOfAnotherHistoryDropsTheWholeLog() {
+    Snapshot snapshot = new Snapshot(9, 7, new Membership(List.of()), Bytes.empty());
+    write(entries(1, 4), new Persist(Optional.empty(), Optional.of(snapshot), List.of()));
+    assertThat(reopen().entries()).isEmpty();
+  }
+
+  @Property(tries = 60, seed = "11")
+  void tornLastRecordIsCut(@ForAll @IntRange(min = 1, max = 400) int cut) throws IOException {
+    write(entries(1, 2));
+    long whole = Files.size(log());
+    write(entries(3, 4));
+    try (RandomAccessFile file = new RandomAccessFile(log().toFile(), "rw")) {
+      file.setLength(Math.max(whole, file.length() - cut));
+    }
+    assertThat(reopen().entries()).extracting(LogEntry::index).containsExactly(1L, 2L);
+    write(entries(3, 3));
+    assertThat(reopen().entries()).hasSize(3);
+    deleteAll();
+  }
+
+  @Example
+  void damageBeforeTheLastRecordIsAnErrorThatSaysWhatToDo() throws IOException {
+    write(entries(1, 2));
+    long whole = Files.size(log());
+    write(entries(3, 4));
+    try (RandomAccessFile file = new RandomAccessFile(log().toFile(), "rw")) {
+      file.seek(whole - 3);
+      file.write(0x55);
+    }
+    assertThatThrownBy(() -> DataFolder.open(folder))
+        .isInstanceOf(StorageException.class)
+        .hasMessageContaining("treat the disk as lost");
+  }
+
+  @Example
+  void secondProcessIsRefused() {
+    try (DataFolder held = DataFolder.open(folder)) {
+      assertThat(held.recovered().entries()).isEmpty();
+      assertThatThrownBy(() -> DataFolder.open(folder)).isInstanceOf(Exception.class);
+    }
+  }
+
+  private DiskId write(Persist... steps) {
+    try (DataFolder data = DataFolder.open(folder)) {
+      data.write(List.of(steps));
+      return data.recovered().disk();
+    }
+  }
+
+  private Recovered reopen() {
+    try (DataFolder data = DataFolder.open(folder)) {
+      return data.recovered();
+    }
+  }
+
+  private static Persist entries(int from, int to) {
+    List<LogEntry> entries =
+        IntStream.rangeClosed(from, to)
+            .mapToObj(i -> new LogEntry(i, 2, Bytes.ofUtf8("c" + i), Optional.empty()))
+            .toList();
+    return new Persist(Optional.of(new HardState(2, Optional.empty())), Optional.empty(), entries);
+  }
+
+  private Path log() {
+    return folder.resolve("log");
+  }
+
+  private void deleteAll() throws IOException {
+    Files.delete(log());
+    Files.deleteIfExists(folder.resolve("snapshot"));
+  }
+
+  private static Path makeFolder() {
+    try {
+      return Files.createTempDirectory("data");
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
--- a/testing/src/main/java/org/endivemux/testing/Platform.java
+++ b/testing/src/main/java/org/endivemux/testing/Platform.java
@@ -26,6 +26,7 @@
   private final List<String> violations = new ArrayList<>();
   private long highestFencing;
   private long orderCalls;
+  private long usageCalls;
   private int failures;
 
   public Platform(int port, boolean checksFencing) {
@@ -52,6 +53,7 @@
   }
 
   private synchronized Reply usage(JsonNode body) {
+    usageCalls++;
     long window = body.path("window").asLong();
     Reply fenced = fence("window " + window, body.path("fencing").asLong());
     if (fenced.status() != 200) {
@@ -126,6 +128,11 @@
     return windowSums.values().stream().mapToLong(Long::longValue).sum();
   }
 
+  /** Returns how often a usage report came, resends included. */
+  public synchronized long usageCalls() {
+    return usageCalls;
+  }
+
   /** Returns the number of reported windows. */
   public synchronized int windowCount() {
     return windows.size();
--- a/wire/src/main/java/org/endivemux/wire/Frame.java
+++ b/wire/src/main/java/org/endivemux/wire/Frame.java
@@ -44,8 +44,13 @@
     return new Frame(type, 0, NOTHING);
   }
 
+  /** Returns the bytes that the frame takes on the wire. */
+  int bytes() {
+    return LENGTH_BYTES + HEADER_BYTES + payload.length;
+  }
+
   ByteBuf toBuffer(ByteBufAllocator allocator) {
-    ByteBuf buffer = allocator.buffer(LENGTH_BYTES + HEADER_BYTES + payload.length);
+    ByteBuf buffer = allocator.buffer(bytes());
     buffer.writeInt(HEADER_BYTES + payload.length);
     buffer.writeByte(type.code);
     buffer.writeLong(correlation);
--- a/wire/src/main/java/org/endivemux/wire/Frames.java
+++ b/wire/src/main/java/org/endivemux/wire/Frames.java
@@ -34,29 +34,34 @@
   }
 
   /** Hands each frame to the consumer on the event loop; a malformed one closes the connection. */
-  static void receive(Connection connection, Consumer<Frame> consumer) {
-    connection.addHandlerLast("frames", new FrameReader(consumer));
+  static void receive(Connection connection, LinkMetrics metrics, Consumer<Frame> consumer) {
+    connection.addHandlerLast("frames", new FrameReader(metrics, consumer));
   }
 
   /** Writes a frame and returns whether the link had room for it. */
-  static boolean write(Channel channel, Frame frame) {
+  static boolean write(Channel channel, LinkMetrics metrics, Frame frame) {
     if (!channel.isActive() || !channel.isWritable()) {
       return false;
     }
+    metrics.bytesOut().inc(frame.bytes());
     var unused = channel.writeAndFlush(frame.toBuffer(channel.alloc()));
     return true;
   }
 
   private static final class FrameReader extends SimpleChannelInboundHandler<ByteBuf> {
+    private final LinkMetrics metrics;
     private final Consumer<Frame> consumer;
 
-    FrameReader(Consumer<Frame> consumer) {
+    FrameReader(LinkMetrics metrics, Consumer<Frame> consumer) {
+      this.metrics = metrics;
       this.consumer = consumer;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
-      consumer.accept(Frame.read(buffer));
+      Frame frame = Frame.read(buffer);
+      metrics.bytesIn().inc(frame.bytes());
+      consumer.accept(frame);
     }
 
     @Override
--- a/wire/src/main/java/org/endivemux/wire/LinkTiming.java
+++ b/wire/src/main/java/org/endivemux/wire/LinkTiming.java
@@ -19,4 +19,13 @@
         Duration.ofMillis(500),
         Duration.ofMillis(100));
   }
+
+  /** Returns the limits for links that carry only hints, such as digests of load. */
+  public static LinkTiming relaxed() {
+    return new LinkTiming(
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(5),
+        Duration.ofMillis(500),
+        Duration.ofMillis(500));
+  }
 }
--- a/wire/src/main/java/org/endivemux/wire/PeerLink.java
+++ b/wire/src/main/java/org/endivemux/wire/PeerLink.java
@@ -30,6 +30,7 @@
   private final InetSocketAddress address;
   private final Hello hello;
   private final LinkTiming timing;
+  private final LinkMetrics metrics;
   private final TcpClient client;
   private final AtomicLong correlations = new AtomicLong();
   private final Map<Long, Sinks.One<byte[]>> pending = new ConcurrentHashMap<>();
@@ -38,10 +39,15 @@
   private volatile Disposable dialling = () -> {};
 
   public PeerLink(
-      InetSocketAddress address, Hello hello, PeerSecurity security, LinkTiming timing) {
+      InetSocketAddress address,
+      Hello hello,
+      PeerSecurity security,
+      LinkTiming timing,
+      LinkMetrics metrics) {
     this.address = address;
     this.hello = hello;
     this.timing = timing;
+    this.metrics = metrics;
     TcpClient plain =
         TcpClient.create(ConnectionProvider.newConnection())
             .remoteAddress(() -> address)
@@ -76,14 +82,14 @@
   private void opened(Connection connection) {
     Frames.install(connection);
     connection.onReadIdle(timing.silence().toMillis(), connection::dispose);
-    Frames.receive(connection, this::onFrame);
+    Frames.receive(connection, metrics, this::onFrame);
     Channel opened = connection.channel();
-    Frames.write(opened, new Frame(Frame.Type.HELLO, 0, MessagePackCodec.encode(hello)));
+    Frames.write(opened, metrics, new Frame(Frame.Type.HELLO, 0, MessagePackCodec.encode(hello)));
     channel = opened;
     Disposable pings =
         Flux.interval(timing.ping())
             .onBackpressureDrop()
-            .subscribe(tick -> Frames.write(opened, Frame.of(Frame.Type.PING)));
+            .subscribe(tick -> Frames.write(opened, metrics, Frame.of(Frame.Type.PING)));
     connection.onDispose(
         () -> {
           pings.dispose();
@@ -124,7 +130,7 @@
   public void send(byte[] payload) {
     Channel open = channel;
     if (open != null) {
-      Frames.write(open, new Frame(Frame.Type.MESSAGE, 0, payload));
+      Frames.write(open, metrics, new Frame(Frame.Type.MESSAGE, 0, payload));
     }
   }
 
@@ -142,7 +148,7 @@
           pending.put(correlation, sink);
           Channel open = channel;
           Frame frame = new Frame(Frame.Type.REQUEST, correlation, payload);
-          if (open == null || !Frames.write(open, frame)) {
+          if (open == null || !Frames.write(open, metrics, frame)) {
             pending.remove(correlation);
             return Mono.error(new WireException("The link to " + address + " is not open."));
           }
--- a/wire/src/main/java/org/endivemux/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivemux/wire/PeerServer.java
@@ -24,13 +24,19 @@
   private final PeerHandler handler;
   private final PeerSecurity security;
   private final LinkTiming timing;
+  private final LinkMetrics metrics;
 
   public PeerServer(
-      InetSocketAddress address, PeerHandler handler, PeerSecurity security, LinkTiming timing) {
+      InetSocketAddress address,
+      PeerHandler handler,
+      PeerSecurity security,
+      LinkTiming timing,
+      LinkMetrics metrics) {
     this.address = address;
     this.handler = handler;
     this.security = security;
     this.timing = timing;
+    this.metrics = metrics;
   }
 
   /** Opens the port; throws {@code ChannelBindException} when it is in use. */
@@ -48,7 +54,7 @@
     Frames.install(connection);
     connection.onReadIdle(timing.silence().toMillis(), connection::dispose);
     AtomicReference<Hello> hello = new AtomicReference<>();
-    Frames.receive(connection, frame -> onFrame(connection.channel(), hello, frame));
+    Frames.receive(connection, metrics, frame -> onFrame(connection.channel(), hello, frame));
   }
 
   private void onFrame(Channel channel, AtomicReference<Hello> hello, Frame frame) {
@@ -67,7 +73,7 @@
       return;
     }
     switch (frame.type()) {
-      case PING -> Frames.write(channel, Frame.of(Frame.Type.PONG));
+      case PING -> Frames.write(channel, metrics, Frame.of(Frame.Type.PONG));
       case MESSAGE -> handler.onMessage(hello.get(), frame.payload());
       case REQUEST -> answer(channel, hello.get(), frame);
       default -> logger.atWarning().log("event=peer_unexpected type=%s", frame.type());
@@ -79,11 +85,14 @@
         .subscribe(
             payload ->
                 Frames.write(
-                    channel, new Frame(Frame.Type.RESPONSE, request.correlation(), payload)),
+                    channel,
+                    metrics,
+                    new Frame(Frame.Type.RESPONSE, request.correlation(), payload)),
             error -> {
               logger.atWarning().withCause(error).log("event=peer_request_failed vm=%s", from.vm());
               byte[] text = String.valueOf(error.getMessage()).getBytes(StandardCharsets.UTF_8);
-              Frames.write(channel, new Frame(Frame.Type.FAILURE, request.correlation(), text));
+              Frames.write(
+                  channel, metrics, new Frame(Frame.Type.FAILURE, request.correlation(), text));
             });
   }
 }
