--- a/integration/src/test/java/org/endivemux/integration/FaultMatrixBench.java
+++ b/integration/src/test/java/org/endivemux/integration/FaultMatrixBench.java
@@ -15,6 +15,8 @@
     List<FaultMatrix.Cell> cells = new ArrayList<>(FaultMatrix.singles());
     FaultMatrix matrix = new FaultMatrix(SEED);
     cells.addAll(matrix.pairs(PAIRS));
+    List<String> only = List.of(System.getProperty("cells", "").split(",", -1));
+    cells.removeIf(cell -> only.stream().noneMatch(cell.toString()::contains));
     for (FaultMatrix.Cell cell : cells) {
       try {
         long start = System.nanoTime();
