--- a/consensus/src/main/java/org/endivemux/consensus/ConsensusCore.java
+++ b/consensus/src/main/java/org/endivemux/consensus/ConsensusCore.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
 import org.endivemux.consensus.Message.Append;
@@ -35,8 +34,8 @@
   private final Formation formation;
   private final MembershipChanges changes;
 
-  public ConsensusCore(VmId self, Set<VmId> named, Recovered recovered, Timing timing, long now) {
-    this.state = new CoreState(self, named, recovered, timing, now);
+  public ConsensusCore(VmId self, Founding founding, Recovered recovered, Timing timing, long now) {
+    this.state = new CoreState(self, founding, recovered, timing, now);
     this.elections = new Elections(state);
     this.following = new Following(state);
     this.replication = new Replication(state);
@@ -51,7 +50,10 @@
           switch (state.role) {
             case UNFORMED -> formation.tick(now);
             case LEADER -> leaderTick(now);
-            default -> elections.tick(now);
+            default -> {
+              elections.tick(now);
+              formation.rejoinTick(now);
+            }
           }
           startWhenWonAlone(now);
         });
--- a/consensus/src/main/java/org/endivemux/consensus/CoreState.java
+++ b/consensus/src/main/java/org/endivemux/consensus/CoreState.java
@@ -1,7 +1,6 @@
 package org.endivemux.consensus;
 
 import java.util.Optional;
-import java.util.Set;
 import org.endivemux.model.DiskId;
 import org.endivemux.model.VmId;
 import org.endivemux.statechart.StateChart;
@@ -18,7 +17,7 @@
 
   final VmId self;
   final DiskId disk;
-  final Set<VmId> named;
+  final Founding founding;
   final Timing timing;
   final ReplicatedLog log;
   final long startedAt;
@@ -38,10 +37,10 @@
   long electionDeadline;
   private long timeouts;
 
-  CoreState(VmId self, Set<VmId> named, Recovered recovered, Timing timing, long now) {
+  CoreState(VmId self, Founding founding, Recovered recovered, Timing timing, long now) {
     this.self = self;
     this.disk = recovered.disk();
-    this.named = Set.copyOf(named);
+    this.founding = founding;
     this.timing = timing;
     this.log = new ReplicatedLog(recovered.snapshot(), recovered.entries());
     this.startedAt = now;
--- a/consensus/src/main/java/org/endivemux/consensus/MembershipChanges.java
+++ b/consensus/src/main/java/org/endivemux/consensus/MembershipChanges.java
@@ -1,5 +1,7 @@
 package org.endivemux.consensus;
 
+import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +18,12 @@
  * Confined to the core's thread.
  */
 final class MembershipChanges {
+  /** Longer than a restart, so that only a voter that is gone is removed. */
+  private static final long SILENT_NANOS = Duration.ofSeconds(8).toNanos();
+
+  /** Fewest voters among which one can be a surplus; two are never reduced to one. */
+  private static final int SMALLEST_SURPLUS = 4;
+
   private final CoreState state;
   private final Replication replication;
   private final Map<VmId, DiskId> joining = new HashMap<>();
@@ -26,9 +34,9 @@
   }
 
   void onJoin(Envelope envelope) {
-    boolean named = state.named.contains(envelope.from());
+    boolean allowed = state.founding.mayJoin(envelope.from());
     boolean known = state.log.membership().member(envelope.fromDisk()).isPresent();
-    if (state.leads() && named && !known) {
+    if (state.leads() && allowed && !known) {
       joining.put(envelope.from(), envelope.fromDisk());
     }
   }
@@ -39,7 +47,8 @@
     if (!replication.isReady() || !settled) {
       return;
     }
-    Stream.<Supplier<Optional<Membership>>>of(this::addition, this::promotion, this::removal)
+    Stream.<Supplier<Optional<Membership>>>of(
+            this::addition, this::promotion, this::removal, () -> surplus(now))
         .map(Supplier::get)
         .flatMap(Optional::stream)
         .findFirst()
@@ -84,6 +93,21 @@
         .map(lost -> present.without(lost::equals));
   }
 
+  /**
+   * Removes a voter that has been silent for long when the number of voters is even: that number
+   * tolerates no more losses than one fewer, so the voter is one that another has replaced.
+   */
+  private Optional<Membership> surplus(long now) {
+    Membership present = state.log.membership();
+    boolean isEven = present.voters().size() % 2 == 0;
+    return present.members().stream()
+        .filter(member -> isEven && present.voters().size() >= SMALLEST_SURPLUS && member.voter())
+        .filter(member -> !member.disk().equals(state.disk))
+        .filter(member -> replication.silentNanos(member, now) > SILENT_NANOS)
+        .max(Comparator.comparingLong(member -> replication.silentNanos(member, now)))
+        .map(lost -> present.without(lost::equals));
+  }
+
   private static boolean isNewest(Membership membership, Member member) {
     return membership.newestOf(member.vm()).filter(member::equals).isPresent();
   }
--- a/consensus/src/main/java/org/endivemux/consensus/Message.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Message.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Set;
+import org.endivemux.model.VmId;
 
 /** Describes what members say to each other. All kinds are immutable and thread-safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -46,10 +48,19 @@
 
   record InstallSnapshot(long term, Snapshot snapshot, long sentAt) implements Message {}
 
-  /** Asks a named voter whether its disk is blank. */
+  /** Asks a VM whether its disk is blank. */
   record Probe() implements Message {}
 
-  record ProbeReply(boolean blank) implements Message {}
+  /**
+   * Answers a probe.
+   *
+   * @param members VMs of the latest membership, so that an asker finds the leader among them
+   */
+  record ProbeReply(boolean blank, Set<VmId> members) implements Message {
+    public ProbeReply {
+      members = Set.copyOf(members);
+    }
+  }
 
   /** Tells a blank voter the first membership. */
   record Form(Membership membership) implements Message {}
--- a/consensus/src/main/java/org/endivemux/consensus/Replication.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Replication.java
@@ -123,6 +123,11 @@
     return of(member).match >= state.commit;
   }
 
+  /** Returns how long a member has answered nothing while this one led. */
+  long silentNanos(Member member, long now) {
+    return now - Math.max(ledSince, of(member).answeredSentAt);
+  }
+
   private long quorumAnsweredAt(long now) {
     return quorumValue(now, known -> known.answeredSentAt);
   }
--- a/control/src/main/java/org/endivemux/control/client/ControlGroup.java
+++ b/control/src/main/java/org/endivemux/control/client/ControlGroup.java
@@ -2,10 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.endivemux.control.ControlException;
 import org.endivemux.control.message.ControlReply;
 import org.endivemux.control.message.ControlRequest;
@@ -24,16 +25,37 @@
   private static final Duration ONE_TRY = Duration.ofMillis(1200);
   private static final Duration PAUSE = Duration.ofMillis(50);
 
-  private final Map<VmId, Caller> voters;
-  private final List<VmId> order;
+  private final Function<VmId, Caller> callers;
+  private volatile List<VmId> contacts;
+  private volatile List<VmId> order;
   private volatile VmId believed;
 
-  public ControlGroup(Map<VmId, Caller> voters) {
-    this.voters = Map.copyOf(voters);
-    this.order = voters.keySet().stream().sorted().toList();
+  /**
+   * Makes a group that is asked first at its contacts and learns of other voters from their
+   * answers.
+   *
+   * @param callers gives the way to a VM; the same for the same VM
+   */
+  public ControlGroup(Function<VmId, Caller> callers, Collection<VmId> contacts) {
+    this.callers = callers;
+    this.contacts = contacts.stream().sorted().toList();
+    this.order = this.contacts;
     this.believed = order.get(0);
   }
 
+  /** Takes over the VMs that are asked first. */
+  public void meet(Collection<VmId> newContacts) {
+    contacts = newContacts.stream().sorted().toList();
+    learn(order);
+  }
+
+  /** Takes over the VMs that may lead. */
+  void learn(List<VmId> voters) {
+    if (!voters.isEmpty()) {
+      order = Stream.concat(voters.stream(), contacts.stream()).distinct().sorted().toList();
+    }
+  }
+
   /** Asks the leader; fails with {@link ControlException} when none answers within the limit. */
   public Mono<ControlReply> ask(ControlRequest request, Duration limit) {
     return Mono.defer(() -> askOnce(request))
@@ -45,8 +67,8 @@
   private Mono<ControlReply> askOnce(ControlRequest request) {
     VmId asked = believed;
     Duration oneTry = oneTry(request);
-    return voters
-        .get(asked)
+    return callers
+        .apply(asked)
         .ask(request, oneTry)
         .timeout(oneTry)
         .flatMap(reply -> checkLeads(asked, reply))
@@ -61,7 +83,8 @@
 
   private Mono<ControlReply> checkLeads(VmId asked, ControlReply reply) {
     if (reply instanceof ControlReply.NotLeader it) {
-      return Mono.error(new NotLeaderException(it.leader().filter(voters::containsKey)));
+      learn(it.voters());
+      return Mono.error(new NotLeaderException(it.leader()));
     }
     believed = asked;
     return Mono.just(reply);
@@ -74,7 +97,8 @@
   }
 
   private VmId after(VmId asked) {
-    return order.get((order.indexOf(asked) + 1) % order.size());
+    List<VmId> present = order;
+    return present.get((present.indexOf(asked) + 1) % present.size());
   }
 
   /** Asks one voter. Implementations are thread-safe and do not block. */
--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -30,6 +30,7 @@
   private final ControlGroup group;
   private final Supplier<EntryInfo> self;
   private final UsageLedger usage;
+  private final GatewayLedger gateway;
   private final Clocks clocks;
   private final SuspensionGuard guard;
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
@@ -37,10 +38,15 @@
   private volatile Disposable polling = () -> {};
 
   public ViewFollower(
-      ControlGroup group, Supplier<EntryInfo> self, UsageLedger usage, Clocks clocks) {
+      ControlGroup group,
+      Supplier<EntryInfo> self,
+      UsageLedger usage,
+      GatewayLedger gateway,
+      Clocks clocks) {
     this.group = group;
     this.self = self;
     this.usage = usage;
+    this.gateway = gateway;
     this.clocks = clocks;
     this.guard = clocks.guard();
   }
@@ -76,10 +82,16 @@
 
   private ControlRequest request(State before, UsageLedger.Batch batch) {
     return new ControlRequest.Poll(
-        self.get(), before.view().revision(), before.entriesNumber(), batch.lines());
+        self.get(),
+        before.view().revision(),
+        before.entriesNumber(),
+        batch.lines(),
+        gateway.poll());
   }
 
   private void take(ControlReply.News news, long sentAt) {
+    gateway.take(news.gateway());
+    group.learn(news.gateway().voters());
     State before = state;
     EntryView base = news.whole().map(EntryView::of).orElse(before.view());
     EntryView view = base.applyAll(news.changes());
--- a/control/src/main/java/org/endivemux/control/message/ControlReply.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -12,6 +12,7 @@
 import org.endivemux.control.state.UsageWindow;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.VmId;
+import org.endivemux.model.gateway.GatewayServer;
 
 /** Describes the answers of a voter. All kinds are immutable and thread-safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -21,11 +22,37 @@
   @JsonSubTypes.Type(value = ControlReply.News.class, name = "news"),
   @JsonSubTypes.Type(value = ControlReply.InForce.class, name = "inforce"),
   @JsonSubTypes.Type(value = ControlReply.ClaimFound.class, name = "claim"),
-  @JsonSubTypes.Type(value = ControlReply.Report.class, name = "report")
+  @JsonSubTypes.Type(value = ControlReply.Report.class, name = "report"),
+  @JsonSubTypes.Type(value = ControlReply.GatewayConfigFound.class, name = "config")
 })
 public sealed interface ControlReply {
-  /** Says that another VM may lead. */
-  record NotLeader(Optional<VmId> leader) implements ControlReply {}
+  /**
+   * Says that another VM may lead.
+   *
+   * @param voters VMs that may lead, as far as the one that answers knows
+   */
+  record NotLeader(Optional<VmId> leader, List<VmId> voters) implements ControlReply {
+    public NotLeader {
+      voters = List.copyOf(voters);
+    }
+  }
+
+  /** Holds the operator's text of the newest gateway configuration; empty before the first. */
+  record GatewayConfigFound(String document) implements ControlReply {}
+
+  /**
+   * Holds the gateway's part of the news. Immutable and thread-safe.
+   *
+   * @param servers backend servers, when their list has changed
+   * @param millis the leader's estimate of true time when it sent this
+   * @param voters VMs that may lead
+   */
+  record GatewayNews(
+      long serversNumber, Optional<List<GatewayServer>> servers, long millis, List<VmId> voters) {
+    public GatewayNews {
+      voters = List.copyOf(voters);
+    }
+  }
 
   record Answered(Answer answer) implements ControlReply {}
 
@@ -41,7 +68,8 @@
       Optional<EntryView.Saved> whole,
       List<EntryView.Numbered> changes,
       long entriesNumber,
-      Optional<List<EntryInfo>> entries)
+      Optional<List<EntryInfo>> entries,
+      GatewayNews gateway)
       implements ControlReply {
     public News {
       changes = List.copyOf(changes);
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -8,6 +8,7 @@
 import org.endivemux.model.IdempotencyKey;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.UsageLine;
+import org.endivemux.model.gateway.WindowCount;
 
 /** Describes what a VM asks of the control leader. All kinds are immutable and thread-safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -16,7 +17,8 @@
   @JsonSubTypes.Type(value = ControlRequest.Poll.class, name = "poll"),
   @JsonSubTypes.Type(value = ControlRequest.AwaitInForce.class, name = "await"),
   @JsonSubTypes.Type(value = ControlRequest.FindClaim.class, name = "find"),
-  @JsonSubTypes.Type(value = ControlRequest.ReadReport.class, name = "report")
+  @JsonSubTypes.Type(value = ControlRequest.ReadReport.class, name = "report"),
+  @JsonSubTypes.Type(value = ControlRequest.ReadGatewayConfig.class, name = "config")
 })
 public sealed interface ControlRequest {
   record Submit(Command command) implements ControlRequest {}
@@ -27,8 +29,14 @@
    * @param revision of the view that the entry has
    * @param entriesNumber of the list of entries that it has
    * @param usage running totals that grew since the last answered poll
+   * @param gateway what the gateway knows and has counted
    */
-  record Poll(EntryInfo entry, long revision, long entriesNumber, List<UsageLine> usage)
+  record Poll(
+      EntryInfo entry,
+      long revision,
+      long entriesNumber,
+      List<UsageLine> usage,
+      GatewayPoll gateway)
       implements ControlRequest {
     public Poll {
       usage = List.copyOf(usage);
@@ -41,4 +49,25 @@
   record FindClaim(OrganisationId organisation, IdempotencyKey key) implements ControlRequest {}
 
   record ReadReport() implements ControlRequest {}
+
+  /** Asks for the operator's text of the newest gateway configuration. */
+  record ReadGatewayConfig() implements ControlRequest {}
+
+  /**
+   * Holds the gateway's part of a poll. Immutable and thread-safe.
+   *
+   * @param serversNumber of the list of backend servers that the entry has
+   * @param counts running totals of recent usage windows
+   * @param wallMillis the entry's wall clock when it sent this
+   */
+  record GatewayPoll(long serversNumber, List<WindowCount> counts, long wallMillis) {
+    public GatewayPoll {
+      counts = List.copyOf(counts);
+    }
+
+    /** Returns the part of an entry that runs no gateway. */
+    public static GatewayPoll none() {
+      return new GatewayPoll(0, List.of(), 0);
+    }
+  }
 }
--- a/control/src/main/java/org/endivemux/control/state/Command.java
+++ b/control/src/main/java/org/endivemux/control/state/Command.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.Declaration;
@@ -18,6 +19,7 @@
 import org.endivemux.model.PlanId;
 import org.endivemux.model.UsageLine;
 import org.endivemux.model.VmId;
+import org.endivemux.model.gateway.GatewayConfig;
 
 /**
  * Describes what changes the replicated state.
@@ -41,7 +43,10 @@
   @JsonSubTypes.Type(value = Command.CloseOrder.class, name = "ordered"),
   @JsonSubTypes.Type(value = Command.RecordUsage.class, name = "usage"),
   @JsonSubTypes.Type(value = Command.CloseWindow.class, name = "window"),
-  @JsonSubTypes.Type(value = Command.MarkReported.class, name = "reported")
+  @JsonSubTypes.Type(value = Command.MarkReported.class, name = "reported"),
+  @JsonSubTypes.Type(value = Command.PutGatewayConfig.class, name = "gateway"),
+  @JsonSubTypes.Type(value = Command.FixWindow.class, name = "fix"),
+  @JsonSubTypes.Type(value = Command.MarkWindowSent.class, name = "sent")
 })
 public sealed interface Command {
   /**
@@ -104,6 +109,23 @@
 
   record MarkReported(long window) implements Command {}
 
+  /**
+   * Brings a gateway configuration into force unless one of the same or a higher version is.
+   *
+   * @param document what the operator sent, for reading it back
+   */
+  record PutGatewayConfig(GatewayConfig config, String document) implements Command {}
+
+  /** Fixes the figures of a usage window of the wall clock; the first ones stay. */
+  record FixWindow(long window, Map<OrganisationId, Long> requests) implements Command {
+    public FixWindow {
+      requests = Map.copyOf(requests);
+    }
+  }
+
+  /** Notes that the platform has accepted a fixed window. */
+  record MarkWindowSent(long window) implements Command {}
+
   /**
    * Holds a command with the leader's wall clock in milliseconds, by which every replica ages
    * state.
--- a/control/src/main/java/org/endivemux/control/state/ControlState.java
+++ b/control/src/main/java/org/endivemux/control/state/ControlState.java
@@ -18,6 +18,7 @@
 import org.endivemux.model.KeyRole;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
+import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.wire.MessagePackCodec;
 
 /**
@@ -36,6 +37,8 @@
   private final Claims claims = new Claims();
   private final Usage usage = new Usage();
   private final Orders orders = new Orders();
+  private final WindowReports windowReports = new WindowReports();
+  private String gatewayDocument = "";
   private final Set<BackendServerId> leaving = new HashSet<>();
   private final Deque<Numbered> changes = new ArrayDeque<>();
   private EntryView view = EntryView.empty();
@@ -75,10 +78,10 @@
     } else if (command instanceof Command.SetLeaving it) {
       return setLeaving(index, it);
     }
-    return applyDuty(command);
+    return applyDuty(index, command);
   }
 
-  private Answer applyDuty(Command command) {
+  private Answer applyDuty(long index, Command command) {
     if (command instanceof Command.RecordUsage it) {
       return usage.record(it, nowMillis);
     } else if (command instanceof Command.CloseWindow it) {
@@ -87,10 +90,24 @@
       return usage.markReported(it);
     } else if (command instanceof Command.OpenOrder it) {
       return orders.open(it);
+    } else if (command instanceof Command.PutGatewayConfig it) {
+      return putGatewayConfig(index, it);
+    } else if (command instanceof Command.FixWindow it) {
+      return windowReports.fix(it);
+    } else if (command instanceof Command.MarkWindowSent it) {
+      return windowReports.markSent(it);
     }
     return orders.close((Command.CloseOrder) command);
   }
 
+  private Answer putGatewayConfig(long index, Command.PutGatewayConfig command) {
+    if (command.config().version() > view.gateway().version()) {
+      gatewayDocument = command.document();
+      publish(index, new ViewChange.GatewayConfigured(command.config()));
+    }
+    return new Answer.Done();
+  }
+
   private Answer confirm(long index, Command.ConfirmPlan command) {
     long before = plans.version();
     Answer answer = plans.confirm(command, index);
@@ -181,6 +198,16 @@
     return usage.firstUnreported();
   }
 
+  /** Returns the operator's text of the gateway configuration in force; empty before the first. */
+  public String gatewayDocument() {
+    return gatewayDocument;
+  }
+
+  /** Returns the usage windows of the wall clock whose figures are fixed. */
+  public WindowReports windowReports() {
+    return windowReports;
+  }
+
   /** Returns all orders, oldest first. */
   public List<Order> orders() {
     return orders.all();
@@ -197,7 +224,10 @@
             claims.all(),
             usage.save(),
             orders.all(),
-            List.copyOf(leaving));
+            List.copyOf(leaving),
+            view.gateway(),
+            gatewayDocument,
+            windowReports.save());
     return Bytes.of(MessagePackCodec.encode(saved));
   }
 
@@ -211,6 +241,8 @@
     claims.restore(saved.claims());
     usage.restore(saved.usage());
     orders.restore(saved.orders());
+    gatewayDocument = saved.gatewayDocument();
+    windowReports.restore(saved.windowReports());
     leaving.clear();
     leaving.addAll(saved.leaving());
     changes.clear();
@@ -222,7 +254,8 @@
                 plans.version(),
                 plans.declaration(),
                 keys.all(),
-                new HashSet<>(leaving)));
+                new HashSet<>(leaving),
+                saved.gateway()));
   }
 
   /** Holds the whole state for a snapshot. Immutable and thread-safe. */
@@ -234,7 +267,10 @@
       List<Claim> claims,
       Usage.Saved usage,
       List<Order> orders,
-      List<BackendServerId> leaving) {
+      List<BackendServerId> leaving,
+      GatewayConfig gateway,
+      String gatewayDocument,
+      WindowReports.Saved windowReports) {
     static Saved blank() {
       return new Saved(
           0,
@@ -244,7 +280,10 @@
           List.of(),
           Usage.Saved.blank(),
           List.of(),
-          new ArrayList<>());
+          new ArrayList<>(),
+          GatewayConfig.none(),
+          "",
+          WindowReports.Saved.blank());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/state/EntryView.java
+++ b/control/src/main/java/org/endivemux/control/state/EntryView.java
@@ -10,6 +10,7 @@
 import org.endivemux.model.Declaration;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyInfo;
+import org.endivemux.model.gateway.GatewayConfig;
 
 /**
  * Holds the part of the replicated state that entries decide by.
@@ -23,23 +24,27 @@
   private final Declaration declaration;
   private final HashMap<KeyDigest, KeyInfo> keys;
   private final HashSet<BackendServerId> leaving;
+  private final GatewayConfig gateway;
 
   private EntryView(
       long revision,
       long version,
       Declaration declaration,
       HashMap<KeyDigest, KeyInfo> keys,
-      HashSet<BackendServerId> leaving) {
+      HashSet<BackendServerId> leaving,
+      GatewayConfig gateway) {
     this.revision = revision;
     this.version = version;
     this.declaration = declaration;
     this.keys = keys;
     this.leaving = leaving;
+    this.gateway = gateway;
   }
 
   /** Returns the view before any change. */
   public static EntryView empty() {
-    return new EntryView(0, 0, Declaration.empty(), HashMap.empty(), HashSet.empty());
+    return new EntryView(
+        0, 0, Declaration.empty(), HashMap.empty(), HashSet.empty(), GatewayConfig.none());
   }
 
   /** Returns the view that was saved. */
@@ -49,23 +54,27 @@
         saved.version(),
         saved.declaration(),
         HashMap.ofAll(saved.keys()),
-        HashSet.ofAll(saved.leaving()));
+        HashSet.ofAll(saved.leaving()),
+        saved.gateway());
   }
 
   /** Returns the view after a change at a revision. */
   public EntryView apply(long newRevision, ViewChange change) {
     if (change instanceof ViewChange.Configured it) {
       Declaration changed = it.delta().applyTo(declaration);
-      return new EntryView(newRevision, it.version(), changed, keys, leaving);
+      return new EntryView(newRevision, it.version(), changed, keys, leaving, gateway);
     }
     if (change instanceof ViewChange.KeyChanged it) {
       var changed = keys.put(it.digest(), it.info());
-      return new EntryView(newRevision, version, declaration, changed, leaving);
+      return new EntryView(newRevision, version, declaration, changed, leaving, gateway);
+    }
+    if (change instanceof ViewChange.GatewayConfigured it) {
+      return new EntryView(newRevision, version, declaration, keys, leaving, it.config());
     }
     ViewChange.LeavingChanged it = (ViewChange.LeavingChanged) change;
     var changed =
         it.leaving() ? leaving.add(it.backendServer()) : leaving.remove(it.backendServer());
-    return new EntryView(newRevision, version, declaration, keys, changed);
+    return new EntryView(newRevision, version, declaration, keys, changed, gateway);
   }
 
   public long revision() {
@@ -96,9 +105,15 @@
     return leaving.contains(id);
   }
 
+  /** Returns the gateway configuration in force. */
+  public GatewayConfig gateway() {
+    return gateway;
+  }
+
   /** Returns the content for the wire and for snapshots. */
   public Saved save() {
-    return new Saved(revision, version, declaration, keys.toJavaMap(), leaving.toJavaSet());
+    return new Saved(
+        revision, version, declaration, keys.toJavaMap(), leaving.toJavaSet(), gateway);
   }
 
   /** Holds a whole view for the wire. Immutable and thread-safe. */
@@ -107,7 +122,8 @@
       long version,
       Declaration declaration,
       Map<KeyDigest, KeyInfo> keys,
-      Set<BackendServerId> leaving) {}
+      Set<BackendServerId> leaving,
+      GatewayConfig gateway) {}
 
   /** Holds one change with its revision. Immutable and thread-safe. */
   public record Numbered(long revision, ViewChange change) {}
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.endivemux.consensus.ConsensusCore.Status;
+import org.endivemux.consensus.Member;
 import org.endivemux.control.message.ControlReply;
 import org.endivemux.control.message.ControlRequest;
 import org.endivemux.control.state.Claim;
@@ -39,19 +40,33 @@
   private final EntryRegistry registry;
   private final UsageInbox usage;
   private final Clocks clocks;
+  private final ServerDirectory servers;
+  private final WindowCounts counts;
+  private final TrueTime time;
   private final Sinks.Many<Boolean> news = Sinks.many().multicast().directBestEffort();
 
   public ControlService(
-      VmId self, Voter voter, EntryRegistry registry, UsageInbox usage, Clocks clocks) {
+      VmId self,
+      Voter voter,
+      EntryRegistry registry,
+      UsageInbox usage,
+      Clocks clocks,
+      ServerDirectory servers,
+      WindowCounts counts,
+      TrueTime time) {
     this.self = self;
     this.voter = voter;
     this.registry = registry;
     this.usage = usage;
     this.clocks = clocks;
+    this.servers = servers;
+    this.counts = counts;
+    this.time = time;
     voter.onViewChanged(this::announce);
   }
 
-  private void announce() {
+  /** Wakes the polls that wait for something new. */
+  void announce() {
     news.emitNext(true, (signal, result) -> result == Sinks.EmitResult.FAIL_NON_SERIALIZED);
   }
 
@@ -70,6 +85,9 @@
     } else if (request instanceof ControlRequest.FindClaim it) {
       return read(state -> new ControlReply.ClaimFound(findClaim(state, it)));
     }
+    if (request instanceof ControlRequest.ReadGatewayConfig) {
+      return read(state -> new ControlReply.GatewayConfigFound(state.gatewayDocument()));
+    }
     return read(this::report);
   }
 
@@ -78,7 +96,16 @@
   }
 
   private ControlReply notLeader() {
-    return new ControlReply.NotLeader(voter.status().leader().filter(vm -> !vm.equals(self)));
+    return new ControlReply.NotLeader(
+        voter.status().leader().filter(vm -> !vm.equals(self)), voters());
+  }
+
+  private List<VmId> voters() {
+    return voter.status().membership().members().stream()
+        .filter(Member::voter)
+        .map(Member::vm)
+        .distinct()
+        .toList();
   }
 
   private Mono<ControlReply> submit(Command command) {
@@ -101,14 +128,25 @@
     Optional<Incarnation> replaced = registry.polled(poll.entry(), poll.revision(), clocks.nanos());
     replaced.ifPresent(gone -> abandon(poll.entry().vm(), gone));
     usage.add(poll.entry(), poll.usage());
+    noteGateway(poll);
     boolean knowsAll =
-        poll.revision() >= voter.publishedRevision() && poll.entriesNumber() == registry.number();
+        poll.revision() >= voter.publishedRevision()
+            && poll.entriesNumber() == registry.number()
+            && poll.gateway().serversNumber() == servers.number(voter.status().term());
     Mono<ControlReply> answer = read(state -> news(state, poll));
     return knowsAll
         ? news.asFlux().next().timeout(POLL_HOLD, Mono.just(true)).then(answer)
         : answer;
   }
 
+  private void noteGateway(ControlRequest.Poll poll) {
+    ControlRequest.GatewayPoll gateway = poll.gateway();
+    if (gateway.wallMillis() > 0) {
+      time.observed(poll.entry().vm(), gateway.wallMillis());
+      counts.add(poll.entry(), gateway.counts(), time.millis());
+    }
+  }
+
   private ControlReply news(ControlState state, ControlRequest.Poll poll) {
     Optional<List<Numbered>> changes = state.changesSince(poll.revision());
     boolean sameEntries = poll.entriesNumber() == registry.number();
@@ -117,7 +155,19 @@
         changes.isPresent() ? Optional.empty() : Optional.of(state.view().save()),
         changes.orElse(List.of()),
         registry.number(),
-        sameEntries ? Optional.empty() : Optional.of(registry.entries()));
+        sameEntries ? Optional.empty() : Optional.of(registry.entries()),
+        gatewayNews(poll.gateway()));
+  }
+
+  private ControlReply.GatewayNews gatewayNews(ControlRequest.GatewayPoll poll) {
+    long term = voter.status().term();
+    return new ControlReply.GatewayNews(
+        servers.number(term), servers.unless(term, poll.serversNumber()), time.millis(), voters());
+  }
+
+  /** Returns the entries that live. */
+  List<EntryInfo> entries() {
+    return registry.entries();
   }
 
   /** Removes silent entries; wants a call every second or so. */
--- a/control/src/main/java/org/endivemux/control/voter/PlatformClient.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformClient.java
@@ -3,13 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ChannelOutboundHandlerAdapter;
-import io.netty.channel.ChannelPromise;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.BooleanSupplier;
@@ -125,24 +121,4 @@
 
   /** Holds one listed backend server. Immutable and thread-safe. */
   public record Listed(BackendServerId id, boolean leaving) {}
-
-  private static final class LeaseGate extends ChannelOutboundHandlerAdapter {
-    private final BooleanSupplier holdsLease;
-
-    LeaseGate(BooleanSupplier holdsLease) {
-      this.holdsLease = holdsLease;
-    }
-
-    @Override
-    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-      if (holdsLease.getAsBoolean()) {
-        var unusedWrite = context.write(message, promise);
-        return;
-      }
-      ReferenceCountUtil.release(message);
-      var unusedPromise =
-          promise.setFailure(new ControlException("The lease ended before the order was sent."));
-      var unusedClose = context.close();
-    }
-  }
 }
--- a/control/src/main/java/org/endivemux/control/voter/Voter.java
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +20,7 @@
 import org.endivemux.consensus.ConsensusCore.Status;
 import org.endivemux.consensus.Effects;
 import org.endivemux.consensus.Envelope;
+import org.endivemux.consensus.Founding;
 import org.endivemux.consensus.LogEntry;
 import org.endivemux.consensus.Recovered;
 import org.endivemux.consensus.Role;
@@ -71,7 +71,7 @@
 
   public Voter(
       VmId self,
-      Set<VmId> named,
+      Founding founding,
       DataFolder folder,
       Timing timing,
       Clocks clocks,
@@ -83,7 +83,7 @@
     this.guard = clocks.guard();
     this.sender = sender;
     this.fatal = fatal;
-    this.core = new ConsensusCore(self, named, recovered, timing, clocks.nanos());
+    this.core = new ConsensusCore(self, founding, recovered, timing, clocks.nanos());
     this.disk =
         new DiskWriter(folder, sender, at -> enqueue(() -> handle(persisted(at))), fatal, metrics);
     restore(recovered.snapshot());
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -5,12 +5,13 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.endivemux.consensus.Envelope;
+import org.endivemux.consensus.Founding;
 import org.endivemux.consensus.Timing;
 import org.endivemux.control.client.ControlGroup;
+import org.endivemux.control.client.GatewayLedger;
 import org.endivemux.control.client.UsageLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.control.message.ControlReply;
@@ -19,8 +20,11 @@
 import org.endivemux.control.voter.EntryRegistry;
 import org.endivemux.control.voter.LeaderDuties;
 import org.endivemux.control.voter.PlatformClient;
+import org.endivemux.control.voter.ServerDirectory;
+import org.endivemux.control.voter.TrueTime;
 import org.endivemux.control.voter.UsageInbox;
 import org.endivemux.control.voter.Voter;
+import org.endivemux.control.voter.WindowCounts;
 import org.endivemux.entry.Dispatcher;
 import org.endivemux.entry.Entry;
 import org.endivemux.entry.Lifecycle;
@@ -85,11 +89,29 @@
     this.voter = settings.dataFolder().map(DataFolder::open).map(this::voter);
     EntryRegistry registry = new EntryRegistry();
     UsageInbox inbox = new UsageInbox();
-    this.service = voter.map(it -> new ControlService(settings.vm(), it, registry, inbox, clocks));
+    this.service =
+        voter.map(
+            it ->
+                new ControlService(
+                    settings.vm(),
+                    it,
+                    registry,
+                    inbox,
+                    clocks,
+                    new ServerDirectory(),
+                    new WindowCounts(),
+                    new TrueTime(clocks)));
     this.duties = service.map(it -> duties(it, inbox));
-    ControlGroup control = new ControlGroup(callers());
+    Map<VmId, ControlGroup.Caller> callers = callers();
+    ControlGroup control = new ControlGroup(callers::get, settings.voters().keySet());
     UsageLedger usage = new UsageLedger();
-    this.follower = new ViewFollower(control, this::info, usage, clocks);
+    this.follower =
+        new ViewFollower(
+            control,
+            this::info,
+            usage,
+            new GatewayLedger(clocks, settings.usageWindow().toMillis()),
+            clocks);
     Scheduler scheduler = new Scheduler(settings.failureDomain(), Choices.named(settings.policy()));
     this.dispatcher = new Dispatcher(scheduler, clocks::nanos);
     this.entry =
@@ -126,7 +148,7 @@
   }
 
   private Voter voter(DataFolder folder) {
-    Set<VmId> named = settings.voters().keySet();
+    Founding named = Founding.named(settings.voters().keySet());
     return new Voter(
         settings.vm(), named, folder, Timing.standard(), clocks, this::send, fatal, metrics);
   }
--- a/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
@@ -25,7 +25,11 @@
   static int run(String[] args) {
     OptionParser parser = new OptionParser();
     OptionSpec<String> file =
-        parser.accepts("settings", "the settings file in YAML").withRequiredArg().required();
+        parser.accepts("settings", "the settings file in YAML").withRequiredArg();
+    OptionSpec<String> gateway =
+        parser
+            .accepts("gateway-settings", "the settings file of a gateway in YAML")
+            .withRequiredArg();
     OptionSpec<Void> check = parser.accepts("check", "only check the settings");
     OptionSpec<Void> help = parser.accepts("help", "show this help").forHelp();
     try {
@@ -34,6 +38,13 @@
         parser.printHelpOn(System.out);
         return 0;
       }
+      if (options.has(gateway)) {
+        return startGateway(Path.of(options.valueOf(gateway)), options.has(check));
+      }
+      if (!options.has(file)) {
+        return fail(
+            "Name a settings file; use --settings FILE, --gateway-settings FILE or --help.");
+      }
       Settings settings = SettingsReader.read(Path.of(options.valueOf(file)));
       return options.has(check) ? checked(settings) : start(options.valueOf(file), settings);
     } catch (OptionException e) {
@@ -71,6 +82,39 @@
     }
   }
 
+  private static int startGateway(Path file, boolean checkOnly) {
+    GatewaySettings settings = GatewaySettings.read(file);
+    if (checkOnly) {
+      System.out.println("The settings of " + settings.vm() + " are sound.");
+      return 0;
+    }
+    try {
+      GatewayDaemon daemon =
+          new GatewayDaemon(settings, Clocks.system(), DaemonProcess::die).start();
+      HangupSignal.handle(() -> reload(daemon, file));
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "drain"));
+      return -1;
+    } catch (ChannelBindException e) {
+      return fail(file + ": the port " + e.localPort() + " is in use; stop the other process.");
+    } catch (StorageException e) {
+      logger.atSevere().log("event=data_folder_unusable cause=\"%s\"", e.getMessage());
+      return DATA_ERROR;
+    }
+  }
+
+  private static void reload(GatewayDaemon daemon, Path file) {
+    try {
+      daemon.reload(GatewaySettings.read(file));
+    } catch (SettingsException e) {
+      logger.atWarning().log("event=settings_kept cause=\"%s\"", e.getMessage());
+    }
+  }
+
+  private static void stop(GatewayDaemon daemon) {
+    daemon.stop().block();
+    logger.atInfo().log("event=stopped");
+  }
+
   private static void stop(Daemon daemon) {
     daemon.stop().block();
     logger.atInfo().log("event=stopped");
--- a/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
@@ -10,10 +10,10 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import org.endivemux.entry.Dispatcher;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.VmId;
 import org.endivemux.routing.Cells;
+import org.endivemux.routing.LoadDigests;
 import org.endivemux.wire.PeerLink;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -40,7 +40,7 @@
 
   private final VmId self;
   private final Supplier<List<EntryInfo>> entries;
-  private final Dispatcher dispatcher;
+  private final LoadDigests loads;
   private final Function<InetSocketAddress, PeerLink> dial;
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
   private volatile PeerDigest last = new PeerDigest(Map.of());
@@ -50,11 +50,11 @@
   DigestExchange(
       VmId self,
       Supplier<List<EntryInfo>> entries,
-      Dispatcher dispatcher,
+      LoadDigests loads,
       Function<InetSocketAddress, PeerLink> dial) {
     this.self = self;
     this.entries = entries;
-    this.dispatcher = dispatcher;
+    this.loads = loads;
     this.dial = dial;
   }
 
@@ -69,7 +69,7 @@
     if (present <= 0) {
       return;
     }
-    PeerDigest digest = new PeerDigest(dispatcher.digest());
+    PeerDigest digest = new PeerDigest(loads.digest());
     boolean nothingNew = digest.equals(last);
     boolean needsNoRepeat = digest.inFlight().isEmpty() || number % QUIET_ROUNDS != 0;
     if (nothingNew && needsNoRepeat) {
--- /dev/null
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
@@ -0,0 +1,125 @@
+package org.endivemux.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.endivemux.control.client.ControlGroup;
+import org.endivemux.control.voter.Clocks;
+import org.endivemux.entry.MetricsText;
+import org.endivemux.model.Incarnation;
+import org.endivemux.model.VmId;
+import org.endivemux.platform.OperatorFace;
+import org.endivemux.routing.LoadDigests;
+import org.endivemux.wire.Hello;
+import org.endivemux.wire.LinkMetrics;
+import org.endivemux.wire.LinkTiming;
+import org.endivemux.wire.PeerLink;
+import org.endivemux.wire.PeerSecurity;
+import org.endivemux.wire.PeerServer;
+import reactor.core.publisher.Mono;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Wires one process of the gateway: an entry, a voter, or both.
+ *
+ * <p>Started and stopped by one thread.
+ */
+final class GatewayDaemon {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final GatewaySettings settings;
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final LinkMetrics linkMetrics = LinkMetrics.of(metrics);
+  private final LoopResources loop = LoopResources.create("gateway", 1, true);
+  private final Hello hello;
+  private final PeerNetwork network;
+  private final ControlGroup control;
+  private final Optional<GatewayVoter> voter;
+  private final Optional<GatewayEntry> entry;
+
+  GatewayDaemon(GatewaySettings settings, Clocks clocks, Consumer<Throwable> fatal) {
+    this.settings = settings;
+    this.hello =
+        new Hello(
+            Hello.VERSION,
+            settings.peerId(),
+            new Incarnation(
+                Long.toString(clocks.millis(), Character.MAX_RADIX)
+                    + "p"
+                    + ProcessHandle.current().pid()));
+    this.network = new PeerNetwork(hello, linkMetrics);
+    this.voter =
+        settings
+            .dataFolder()
+            .map(folder -> new GatewayVoter(settings, network, clocks, loop, fatal, metrics));
+    this.control = new ControlGroup(this::caller, settings.contactIds());
+    this.entry =
+        settings
+            .callersAddress()
+            .map(
+                address ->
+                    new GatewayEntry(
+                        settings,
+                        hello.incarnation(),
+                        control,
+                        this::hintLink,
+                        clocks,
+                        loop,
+                        () -> MetricsText.of(metrics),
+                        metrics));
+  }
+
+  private ControlGroup.Caller caller(VmId vm) {
+    return voter
+        .filter(own -> vm.equals(settings.peerId()))
+        .map(own -> ControlGroup.local(own.service()::handle))
+        .orElseGet(() -> network.caller(vm));
+  }
+
+  private PeerLink hintLink(java.net.InetSocketAddress address) {
+    return new PeerLink(address, hello, PeerSecurity.none(), LinkTiming.relaxed(), linkMetrics)
+        .start();
+  }
+
+  /** Opens the ports and starts to work; throws when a port is in use. */
+  GatewayDaemon start() {
+    LoadDigests loads = entry.<LoadDigests>map(GatewayEntry::loads).orElseGet(NoLoad::new);
+    PeerRouter router =
+        new PeerRouter(voter.map(GatewayVoter::voter), voter.map(GatewayVoter::service), loads);
+    new PeerServer(
+            GatewaySettings.address(settings.peerId().value()),
+            router,
+            PeerSecurity.none(),
+            LinkTiming.relaxed(),
+            linkMetrics)
+        .start();
+    voter.ifPresent(GatewayVoter::start);
+    entry.ifPresent(GatewayEntry::start);
+    settings
+        .operatorAddress()
+        .ifPresent(
+            address ->
+                new OperatorFace(control, () -> MetricsText.of(metrics))
+                    .start(GatewaySettings.address(address), loop));
+    logger.atInfo().log(
+        "event=started vm=%s incarnation=%s voter=%s entry=%s mayForm=%s",
+        settings.vm(),
+        hello.incarnation(),
+        voter.isPresent(),
+        entry.isPresent(),
+        settings.mayForm());
+    return this;
+  }
+
+  /** Takes over what may change while the process runs. */
+  void reload(GatewaySettings newer) {
+    control.meet(newer.contactIds());
+    logger.atInfo().log("event=settings_read contacts=%s", newer.contactIds());
+  }
+
+  /** Drains and completes when no request is in flight. */
+  Mono<Void> stop() {
+    return entry.map(GatewayEntry::stop).orElseGet(Mono::empty);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
@@ -0,0 +1,83 @@
+package org.endivemux.daemon;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Consumer;
+import org.endivemux.consensus.Founding;
+import org.endivemux.consensus.Timing;
+import org.endivemux.control.voter.Clocks;
+import org.endivemux.control.voter.ControlService;
+import org.endivemux.control.voter.EntryRegistry;
+import org.endivemux.control.voter.GatewayDuties;
+import org.endivemux.control.voter.ServerDirectory;
+import org.endivemux.control.voter.TrueTime;
+import org.endivemux.control.voter.UsageInbox;
+import org.endivemux.control.voter.Voter;
+import org.endivemux.control.voter.WindowCounts;
+import org.endivemux.model.VmId;
+import org.endivemux.platform.PlatformApi;
+import org.endivemux.storage.DataFolder;
+import reactor.netty.resources.LoopResources;
+
+/** Wires the parts of a voter of the gateway's control. Started by one thread. */
+final class GatewayVoter {
+  private final Voter voter;
+  private final ControlService service;
+  private final GatewayDuties duties;
+
+  GatewayVoter(
+      GatewaySettings settings,
+      PeerNetwork network,
+      Clocks clocks,
+      LoopResources loop,
+      Consumer<Throwable> fatal,
+      MetricRegistry metrics) {
+    VmId self = settings.peerId();
+    this.voter =
+        new Voter(
+            self,
+            new Founding(settings.contactIds(), settings.mayForm(), true),
+            DataFolder.open(Path.of(settings.dataFolder().orElseThrow())),
+            Timing.standard(),
+            clocks,
+            network::send,
+            fatal,
+            metrics);
+    ServerDirectory directory = new ServerDirectory();
+    WindowCounts counts = new WindowCounts();
+    TrueTime time = new TrueTime(clocks);
+    this.service =
+        new ControlService(
+            self, voter, new EntryRegistry(), new UsageInbox(), clocks, directory, counts, time);
+    this.duties =
+        new GatewayDuties(
+            voter,
+            service,
+            new PlatformApi(
+                new VmId(settings.vm()),
+                settings.platformAddress().orElseThrow(),
+                voter::holdsLease,
+                loop),
+            directory,
+            counts,
+            time,
+            clocks,
+            settings.usageWindow(),
+            (state, servers, now) -> List.of(),
+            metrics);
+  }
+
+  Voter voter() {
+    return voter;
+  }
+
+  ControlService service() {
+    return service;
+  }
+
+  void start() {
+    voter.start();
+    duties.start();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/endivemux/daemon/PeerNetwork.java
@@ -0,0 +1,60 @@
+package org.endivemux.daemon;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.endivemux.consensus.Envelope;
+import org.endivemux.control.client.ControlGroup;
+import org.endivemux.control.message.ControlReply;
+import org.endivemux.model.VmId;
+import org.endivemux.wire.Hello;
+import org.endivemux.wire.LinkMetrics;
+import org.endivemux.wire.LinkTiming;
+import org.endivemux.wire.MessagePackCodec;
+import org.endivemux.wire.PeerLink;
+import org.endivemux.wire.PeerSecurity;
+
+/**
+ * Keeps links to VMs whose ids are the addresses of their peer ports.
+ *
+ * <p>Invariant: one link to each VM, opened when it is first needed. Thread-safe.
+ */
+final class PeerNetwork {
+  private final Hello hello;
+  private final LinkMetrics metrics;
+  private final Map<VmId, PeerLink> links = new ConcurrentHashMap<>();
+
+  PeerNetwork(Hello hello, LinkMetrics metrics) {
+    this.hello = hello;
+    this.metrics = metrics;
+  }
+
+  private PeerLink link(VmId vm) {
+    return links.computeIfAbsent(vm, this::open);
+  }
+
+  private PeerLink open(VmId vm) {
+    return new PeerLink(
+            GatewaySettings.address(vm.value()),
+            hello,
+            PeerSecurity.none(),
+            LinkTiming.standard(),
+            metrics)
+        .start();
+  }
+
+  /** Sends a message of the replicated log, or drops it while there is no link. */
+  void send(Envelope envelope) {
+    PeerLink link = link(envelope.to());
+    if (link.isOpen()) {
+      link.send(PeerPayload.encode(PeerPayload.CONSENSUS, envelope));
+    }
+  }
+
+  /** Returns the way to ask the control service of a VM. */
+  ControlGroup.Caller caller(VmId vm) {
+    return (request, limit) ->
+        link(vm)
+            .request(MessagePackCodec.encode(request), limit)
+            .map(bytes -> MessagePackCodec.decode(bytes, ControlReply.class));
+  }
+}
--- a/daemon/src/main/java/org/endivemux/daemon/PeerRouter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/PeerRouter.java
@@ -1,13 +1,14 @@
 package org.endivemux.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.Optional;
 import org.endivemux.consensus.Envelope;
 import org.endivemux.control.message.ControlReply;
 import org.endivemux.control.message.ControlRequest;
 import org.endivemux.control.voter.ControlService;
 import org.endivemux.control.voter.Voter;
-import org.endivemux.entry.Dispatcher;
+import org.endivemux.routing.LoadDigests;
 import org.endivemux.wire.Hello;
 import org.endivemux.wire.MessagePackCodec;
 import org.endivemux.wire.PeerHandler;
@@ -19,12 +20,12 @@
 
   private final Optional<Voter> voter;
   private final Optional<ControlService> service;
-  private final Dispatcher dispatcher;
+  private final LoadDigests loads;
 
-  PeerRouter(Optional<Voter> voter, Optional<ControlService> service, Dispatcher dispatcher) {
+  PeerRouter(Optional<Voter> voter, Optional<ControlService> service, LoadDigests loads) {
     this.voter = voter;
     this.service = service;
-    this.dispatcher = dispatcher;
+    this.loads = loads;
   }
 
   @Override
@@ -33,7 +34,7 @@
       case PeerPayload.CONSENSUS ->
           voter.ifPresent(it -> it.receive(PeerPayload.decode(payload, Envelope.class)));
       case PeerPayload.DIGEST ->
-          dispatcher.peerDigest(
+          loads.peerDigest(
               from.vm().value(), PeerPayload.decode(payload, PeerDigest.class).inFlight());
       default -> logger.atWarning().log("event=peer_unknown_kind vm=%s", from.vm());
     }
@@ -44,7 +45,7 @@
     ControlRequest request = MessagePackCodec.decode(payload, ControlRequest.class);
     return service
         .map(it -> it.handle(request))
-        .orElseGet(() -> Mono.just(new ControlReply.NotLeader(Optional.empty())))
+        .orElseGet(() -> Mono.just(new ControlReply.NotLeader(Optional.empty(), List.of())))
         .map(MessagePackCodec::encode);
   }
 }
--- a/entry/src/main/java/org/endivemux/entry/ChatHandler.java
+++ b/entry/src/main/java/org/endivemux/entry/ChatHandler.java
@@ -12,6 +12,7 @@
 import org.endivemux.model.Reason;
 import org.endivemux.model.UsageTotals;
 import org.endivemux.routing.Job;
+import org.endivemux.wire.sse.SseEvent;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
--- a/entry/src/main/java/org/endivemux/entry/ChatStream.java
+++ b/entry/src/main/java/org/endivemux/entry/ChatStream.java
@@ -7,6 +7,8 @@
 import org.endivemux.entry.BackendClient.Call;
 import org.endivemux.entry.Tries.OneTry;
 import org.endivemux.routing.Assignment;
+import org.endivemux.wire.sse.SseEvent;
+import org.endivemux.wire.sse.SseSplitter;
 import reactor.core.publisher.Flux;
 
 /**
--- a/entry/src/main/java/org/endivemux/entry/Dispatcher.java
+++ b/entry/src/main/java/org/endivemux/entry/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.endivemux.model.RequestId;
 import org.endivemux.routing.Assignment;
 import org.endivemux.routing.Job;
+import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.Observation;
 import org.endivemux.routing.Refusal;
 import org.endivemux.routing.Scheduler;
@@ -26,7 +27,7 @@
  * <p>Invariants: the scheduler is touched under one lock; each waiting request is answered once,
  * outside of the lock. Thread-safe.
  */
-public final class Dispatcher implements AutoCloseable {
+public final class Dispatcher implements LoadDigests, AutoCloseable {
   private static final Duration ROUND = Duration.ofMillis(20);
 
   private final Object lock = new Object();
@@ -138,7 +139,7 @@
         : new RefusedException(refusal.reason());
   }
 
-  /** Takes over what another entry has in flight. */
+  @Override
   public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight) {
     synchronized (lock) {
       scheduler.peerDigest(peer, inFlight, nanos.getAsLong());
@@ -146,7 +147,7 @@
     assign();
   }
 
-  /** Returns what this entry has in flight at each backend server. */
+  @Override
   public Map<BackendServerId, Integer> digest() {
     synchronized (lock) {
       return scheduler.digest();
--- a/entry/src/main/java/org/endivemux/entry/MetricsText.java
+++ b/entry/src/main/java/org/endivemux/entry/MetricsText.java
@@ -10,12 +10,12 @@
 import java.util.stream.Stream;
 
 /** Writes a registry in the text format that monitoring systems scrape. Stateless, thread-safe. */
-final class MetricsText {
+public final class MetricsText {
   private static final double NANOS_PER_SECOND = 1e9;
 
   private MetricsText() {}
 
-  static String of(MetricRegistry registry) {
+  public static String of(MetricRegistry registry) {
     Stream<String> counters =
         registry.getCounters().entrySet().stream()
             .map(e -> line(e.getKey(), "_total", e.getValue().getCount()));
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/GatewayCounters.java
@@ -0,0 +1,39 @@
+package org.endivemux.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.concurrent.TimeUnit;
+import org.endivemux.model.Reason;
+import org.endivemux.model.RetryReason;
+import org.endivemux.model.gateway.HostRoute;
+
+/** Counts what a gateway does. Thread-safe. */
+public final class GatewayCounters {
+  private final MetricRegistry registry;
+
+  public GatewayCounters(MetricRegistry registry) {
+    this.registry = registry;
+    for (Reason reason : Reason.values()) {
+      registry.counter("refusals." + reason);
+    }
+    for (RetryReason reason : RetryReason.values()) {
+      registry.counter("retries." + reason);
+    }
+  }
+
+  public void refused(Reason reason) {
+    registry.counter("refusals." + reason).inc();
+  }
+
+  void retried(RetryReason reason) {
+    registry.counter("retries." + reason).inc();
+  }
+
+  void answered(HostRoute route, long nanos) {
+    registry.timer("answers.kind." + route.kind()).update(nanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** Returns the registry of all metrics. */
+  public MetricRegistry registry() {
+    return registry;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -0,0 +1,360 @@
+package org.endivemux.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.endivemux.control.client.GatewayLedger;
+import org.endivemux.gateway.BackendPort.Answer;
+import org.endivemux.gateway.BackendPort.Call;
+import org.endivemux.gateway.BackendPort.Left;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.model.Reason;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.RetryReason;
+import org.endivemux.model.gateway.HostRoute;
+import org.endivemux.model.gateway.RequestKind;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.routing.fleet.FleetJob;
+import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.RetryAllowance;
+import org.endivemux.routing.fleet.TryEnd;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Sends a request to a backend server, and elsewhere when that is safe.
+ *
+ * <p>Invariants: a request that must not be repeated is sent again only when the one before it did
+ * certainly not run; a refusal that says "not run" is given only then; a resumed stream goes on
+ * after the last event that the caller has. Thread-safe.
+ */
+public final class Relay {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int MAX_SENDS = 4;
+  private static final int MAX_ANSWER_BYTES = 8 << 20;
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int OK = 200;
+
+  /** With less time left no other backend server is tried. */
+  private static final long LEAST_NANOS = 60 * NANOS_PER_MILLI;
+
+  /** A try that may be repeated elsewhere gets this many times the target for its first byte. */
+  private static final double FIRST_BYTE_TARGETS = 2;
+
+  private static final long SHORTEST_FIRST_BYTE_NANOS = 600 * NANOS_PER_MILLI;
+
+  /** A stream that may be resumed elsewhere is silent no longer than this between events. */
+  private static final long SHORTEST_GAP_NANOS = 1000 * NANOS_PER_MILLI;
+
+  /** Part of the target that a request waits for room before it is refused. */
+  private static final double PATIENCE = 0.75;
+
+  private final ServerPool pool;
+  private final BackendPort backends;
+  private final GatewayLedger ledger;
+  private final GatewayCounters counters;
+  private final Supplier<RouteTable> table;
+  private final IntSupplier entries;
+  private final RetryLimits retryLimits;
+  private final LongSupplier nanos;
+  private final Scheduler timers;
+  private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
+  private final AtomicLong tries = new AtomicLong();
+
+  /** Holds the limit of repeats over all entries. Immutable and thread-safe. */
+  public record RetryLimits(double ratio, int windowSeconds, double slack) {}
+
+  Relay(
+      ServerPool pool,
+      BackendPort backends,
+      GatewayLedger ledger,
+      GatewayCounters counters,
+      Supplier<RouteTable> table,
+      IntSupplier entries,
+      RetryLimits retryLimits,
+      LongSupplier nanos,
+      Scheduler timers) {
+    this.pool = pool;
+    this.backends = backends;
+    this.ledger = ledger;
+    this.counters = counters;
+    this.table = table;
+    this.entries = entries;
+    this.retryLimits = retryLimits;
+    this.nanos = nanos;
+    this.timers = timers;
+  }
+
+  /** Runs a request to its end; fails with {@link GatewayRefusal}. */
+  Flux<AnswerPart> run(Admitted request, byte[] body) {
+    Progress progress = new Progress(request.head().resumeAfter());
+    allowance(request.service(), RetryAllowance::requested);
+    Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
+    return attempt(request, body, progress)
+        .takeUntilOther(
+            Mono.delay(timeLeft, timers).flatMap(tick -> Mono.error(new TimeoutException())))
+        .onErrorResume(error -> giveUp(progress, error));
+  }
+
+  private interface AllowanceUse {
+    void use(RetryAllowance allowance, long now);
+  }
+
+  private void allowance(ServiceName service, AllowanceUse use) {
+    synchronized (allowances) {
+      use.use(allowanceOf(service), nanos.getAsLong());
+    }
+  }
+
+  private RetryAllowance allowanceOf(ServiceName service) {
+    return allowances.computeIfAbsent(
+        service,
+        name ->
+            new RetryAllowance(
+                retryLimits.ratio(), retryLimits.windowSeconds(), retryLimits.slack()));
+  }
+
+  private boolean tryRepeat(ServiceName service) {
+    synchronized (allowances) {
+      return allowanceOf(service).tryRepeat(entries.getAsInt(), nanos.getAsLong());
+    }
+  }
+
+  private Flux<AnswerPart> attempt(Admitted request, byte[] body, Progress progress) {
+    return Flux.defer(
+        () -> {
+          FleetJob job = job(request, progress);
+          Left left = new Left();
+          return pool.acquire(job)
+              .flatMapMany(binding -> once(request, body, progress, binding, left))
+              .onErrorResume(error -> again(request, body, progress, left, error));
+        });
+  }
+
+  private FleetJob job(Admitted request, Progress progress) {
+    HostRoute route = request.route();
+    long target = route.targetMillis() * NANOS_PER_MILLI;
+    long giveUpAt =
+        Math.min(
+            request.deadline() - LEAST_NANOS, request.arrivedAt() + (long) (target * PATIENCE));
+    return new FleetJob(
+        new RequestId("try-" + tries.incrementAndGet()),
+        request.service(),
+        request.organisation().orElse(Gateway.NOBODY),
+        request.urgency(),
+        request.arrivedAt(),
+        request.arrivedAt() + target,
+        progress.headDelivered() ? request.deadline() - LEAST_NANOS : giveUpAt,
+        request.head().prompt(),
+        route.repeatable(),
+        progress.used());
+  }
+
+  private Flux<AnswerPart> once(
+      Admitted request, byte[] body, Progress progress, Binding binding, Left left) {
+    RequestId id = binding.job().id();
+    progress.sent(binding.server().id());
+    long sentAt = nanos.getAsLong();
+    Call call =
+        new Call(
+            request.head(),
+            body,
+            binding.server(),
+            request.organisation(),
+            Duration.ofNanos(request.deadline() - sentAt),
+            request.urgency(),
+            progress.lastEvent(),
+            maxConnections(request.service()),
+            left);
+    logger.atFine().log(
+        "event=try request=%s try=%d backend=%s",
+        request.head().id(), progress.sends(), binding.server().id());
+    return backends
+        .send(call, answer -> read(request, progress, id, sentAt, answer))
+        .transform(parts -> limited(request, progress, parts))
+        .doOnComplete(() -> pool.release(id, TryEnd.OK))
+        .doOnError(error -> pool.release(id, endOf(error)))
+        .doOnCancel(() -> pool.release(id, TryEnd.CANCELLED));
+  }
+
+  private int maxConnections(ServiceName service) {
+    int declared = table.get().service(service).map(ServiceSpec::maxConnections).orElse(1);
+    return Math.max(1, declared / Math.max(1, entries.getAsInt()));
+  }
+
+  /** Ends a silent try early when the request may go on elsewhere. */
+  private Flux<AnswerPart> limited(Admitted request, Progress progress, Flux<AnswerPart> parts) {
+    HostRoute route = request.route();
+    if (!route.repeatable() || progress.runs() + 1 >= route.maxServers()) {
+      return parts;
+    }
+    long first =
+        Math.max(
+            SHORTEST_FIRST_BYTE_NANOS,
+            (long) (route.targetMillis() * NANOS_PER_MILLI * FIRST_BYTE_TARGETS));
+    long gap = Math.max(SHORTEST_GAP_NANOS, 2 * route.gapMillis() * NANOS_PER_MILLI);
+    return parts.timeout(
+        Mono.delay(Duration.ofNanos(first), timers),
+        part -> Mono.delay(Duration.ofNanos(gap), timers));
+  }
+
+  private static TryEnd endOf(Throwable error) {
+    if (error instanceof NotRunException) {
+      return TryEnd.FULL;
+    }
+    return error instanceof ServerErrorException ? TryEnd.ERROR : TryEnd.FAILED;
+  }
+
+  private Flux<AnswerPart> read(
+      Admitted request, Progress progress, RequestId id, long sentAt, Answer answer) {
+    if (answer.notRun()) {
+      return answer.body().thenMany(Flux.error(new NotRunException()));
+    }
+    if (request.route().kind() == RequestKind.STREAM && answer.status() == OK) {
+      StreamReader reader =
+          new StreamReader(progress, () -> firstEvent(request, progress, id, nanos.getAsLong()));
+      return reader.read(answer.status(), answer.headers(), answer.body());
+    }
+    firstEvent(request, progress, id, sentAt);
+    return answer
+        .body()
+        .reduceWith(ByteArrayOutputStream::new, Relay::append)
+        .flatMapMany(whole -> whole(progress, answer, whole.toByteArray()));
+  }
+
+  private static ByteArrayOutputStream append(ByteArrayOutputStream out, byte[] part) {
+    if (out.size() + part.length > MAX_ANSWER_BYTES) {
+      throw new IllegalStateException("The answer is longer than the gateway keeps.");
+    }
+    out.writeBytes(part);
+    return out;
+  }
+
+  private Flux<AnswerPart> whole(Progress progress, Answer answer, byte[] bytes) {
+    HttpHeaders headers = answer.headers();
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    AnswerPart.Head head = new AnswerPart.Head(answer.status(), headers);
+    if (answer.status() >= FIRST_SERVER_ERROR) {
+      progress.keep(new Progress.KeptAnswer(head, bytes));
+      return Flux.error(new ServerErrorException());
+    }
+    progress.delivered(progress.lastEvent());
+    return Flux.just(head, new AnswerPart.Body(bytes));
+  }
+
+  /** Counts a request that has begun to run, once. */
+  private void firstEvent(Admitted request, Progress progress, RequestId id, long beganAt) {
+    pool.answered(id);
+    Optional<OrganisationId> organisation = request.organisation();
+    if (organisation.isPresent() && progress.countOnce()) {
+      ledger.began(organisation.get(), (nanos.getAsLong() - beganAt) / NANOS_PER_MILLI);
+    }
+  }
+
+  private Flux<AnswerPart> again(
+      Admitted request, byte[] body, Progress progress, Left left, Throwable error) {
+    if (error instanceof GatewayRefusal) {
+      return Flux.error(error);
+    }
+    boolean mayHaveRun = left.may() && !(error instanceof NotRunException);
+    if (mayHaveRun) {
+      progress.mayHaveRun();
+    }
+    Optional<RetryReason> reason =
+        retryReason(request, progress, mayHaveRun, left, error)
+            .filter(allowed -> progress.sends() < MAX_SENDS)
+            .filter(allowed -> request.deadline() - nanos.getAsLong() > LEAST_NANOS)
+            .filter(allowed -> !left.may() || tryRepeat(request.service()));
+    logger.atInfo().log(
+        "event=try_failed request=%s try=%d mayHaveRun=%s retry=%s cause=\"%s\"",
+        request.head().id(),
+        progress.sends(),
+        mayHaveRun,
+        reason.map(RetryReason::toString).orElse("no"),
+        error);
+    if (reason.isEmpty()) {
+      return Flux.error(error);
+    }
+    counters.retried(reason.get());
+    return attempt(request, body, progress);
+  }
+
+  private static Optional<RetryReason> retryReason(
+      Admitted request, Progress progress, boolean mayHaveRun, Left left, Throwable error) {
+    if (!left.may()) {
+      return Optional.of(RetryReason.CONNECT_FAILED);
+    }
+    if (!mayHaveRun) {
+      return Optional.of(RetryReason.BACKEND_BUSY);
+    }
+    HostRoute route = request.route();
+    boolean repeatable = route.repeatable() && progress.runs() < route.maxServers();
+    if (!repeatable) {
+      return Optional.empty();
+    }
+    if (progress.headDelivered()) {
+      return progress.lastEvent().isPresent()
+          ? Optional.of(RetryReason.STREAM_RESUMED)
+          : Optional.empty();
+    }
+    if (error instanceof ServerErrorException) {
+      return Optional.of(RetryReason.BACKEND_ERROR);
+    }
+    return Optional.of(
+        error instanceof TimeoutException
+            ? RetryReason.SILENT_BEFORE_ANSWER
+            : RetryReason.BROKEN_BEFORE_ANSWER);
+  }
+
+  private Flux<AnswerPart> giveUp(Progress progress, Throwable error) {
+    if (progress.headDelivered()) {
+      return Flux.error(new GatewayRefusal(Reason.ANSWER_BROKEN));
+    }
+    if (progress.kept().isPresent()) {
+      Progress.KeptAnswer kept = progress.kept().get();
+      return Flux.just(kept.head(), new AnswerPart.Body(kept.body()));
+    }
+    boolean timedOut = error instanceof TimeoutException;
+    if (progress.runs() > 0 || (timedOut && progress.sends() > 0)) {
+      return Flux.error(
+          new GatewayRefusal(timedOut ? Reason.BACKEND_TIMEOUT : Reason.BACKEND_FAILED));
+    }
+    return Flux.error(
+        error instanceof GatewayRefusal it
+            ? it
+            : new GatewayRefusal(
+                Reason.NOT_TAKEN,
+                ServerPool.retryAfterMillis(new RequestId("r" + tries.incrementAndGet()))));
+  }
+
+  /** Signals that a backend server says that it has not run a request. Immutable. */
+  private static final class NotRunException extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    NotRunException() {
+      super("The backend server did not take the request.", null, false, false);
+    }
+  }
+
+  /** Signals a backend server's own error answer. Immutable. */
+  private static final class ServerErrorException extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    ServerErrorException() {
+      super("The backend server answered with an error.", null, false, false);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -0,0 +1,146 @@
+package org.endivemux.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.Reason;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.gateway.GatewayConfig;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.routing.LoadDigests;
+import org.endivemux.routing.fleet.FleetJob;
+import org.endivemux.routing.fleet.FleetScheduler;
+import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.TryEnd;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Lets requests wait for the scheduler's choice of a backend server.
+ *
+ * <p>Invariants: the scheduler is touched under one lock; each waiting request is answered once,
+ * outside of the lock. Thread-safe.
+ */
+public final class ServerPool implements LoadDigests {
+  private static final long RETRY_MIN_MILLIS = 250;
+  private static final long RETRY_SPREAD_MILLIS = 750;
+
+  private final Object lock = new Object();
+  private final FleetScheduler scheduler;
+  private final LongSupplier nanos;
+  private final Scheduler timers;
+  private final Map<RequestId, Sinks.One<Binding>> waiting = new HashMap<>();
+
+  public ServerPool(FleetScheduler scheduler, LongSupplier nanos, Scheduler timers) {
+    this.scheduler = scheduler;
+    this.nanos = nanos;
+    this.timers = timers;
+  }
+
+  /** Takes over the declared services. */
+  public void configure(GatewayConfig config) {
+    synchronized (lock) {
+      scheduler.declare(config.services());
+    }
+    bind();
+  }
+
+  /** Takes over the list of backend servers. */
+  public void list(List<GatewayServer> servers) {
+    synchronized (lock) {
+      scheduler.list(servers);
+    }
+    bind();
+  }
+
+  /** Waits for a backend server; fails with {@link GatewayRefusal}. */
+  Mono<Binding> acquire(FleetJob job) {
+    return Mono.defer(
+        () -> {
+          Sinks.One<Binding> sink = Sinks.one();
+          synchronized (lock) {
+            waiting.put(job.id(), sink);
+            scheduler.offer(job);
+          }
+          bind();
+          Duration patience = Duration.ofNanos(Math.max(0, job.giveUpAt() - nanos.getAsLong()));
+          return sink.asMono()
+              .timeout(patience, Mono.error(() -> tooLate(job)), timers)
+              .doOnCancel(() -> withdraw(job));
+        });
+  }
+
+  private static GatewayRefusal tooLate(FleetJob job) {
+    return new GatewayRefusal(Reason.TOO_LATE, retryAfterMillis(job.id()));
+  }
+
+  /** Returns a time to come back that differs between requests, so that they return spread out. */
+  static long retryAfterMillis(RequestId id) {
+    return RETRY_MIN_MILLIS + Math.floorMod(id.hashCode() * 31L, RETRY_SPREAD_MILLIS);
+  }
+
+  private void withdraw(FleetJob job) {
+    boolean bound;
+    synchronized (lock) {
+      waiting.remove(job.id());
+      bound = !scheduler.withdraw(job);
+    }
+    if (bound) {
+      release(job.id(), TryEnd.CANCELLED);
+    }
+  }
+
+  /** Notes the first event of an answer. */
+  void answered(RequestId id) {
+    synchronized (lock) {
+      scheduler.answered(id);
+    }
+  }
+
+  /** Gives the room of a try back; an unknown one is ignored. */
+  void release(RequestId id, TryEnd end) {
+    synchronized (lock) {
+      scheduler.ended(id, end, nanos.getAsLong());
+    }
+    bind();
+  }
+
+  private void bind() {
+    List<Binding> bound;
+    synchronized (lock) {
+      bound = scheduler.bind(nanos.getAsLong());
+    }
+    bound.forEach(this::deliver);
+  }
+
+  private void deliver(Binding binding) {
+    Sinks.One<Binding> sink;
+    synchronized (lock) {
+      sink = waiting.remove(binding.job().id());
+    }
+    if (sink == null) {
+      release(binding.job().id(), TryEnd.CANCELLED);
+    } else {
+      sink.tryEmitValue(binding);
+    }
+  }
+
+  @Override
+  public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight) {
+    synchronized (lock) {
+      scheduler.peerDigest(peer, inFlight, nanos.getAsLong());
+    }
+    bind();
+  }
+
+  @Override
+  public Map<BackendServerId, Integer> digest() {
+    synchronized (lock) {
+      return scheduler.digest();
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/StreamReader.java
@@ -0,0 +1,74 @@
+package org.endivemux.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.OptionalLong;
+import org.endivemux.wire.sse.SseEvent;
+import org.endivemux.wire.sse.SseSplitter;
+import reactor.core.publisher.Flux;
+
+/**
+ * Passes the events of one try's stream on, whole.
+ *
+ * <p>Invariant: the caller gets each event once and in order, also when an earlier try has
+ * delivered the first ones. Used by one try on the event loop.
+ */
+final class StreamReader {
+  private final SseSplitter splitter = new SseSplitter();
+  private final Progress progress;
+  private final Runnable onFirstEvent;
+  private boolean started;
+
+  StreamReader(Progress progress, Runnable onFirstEvent) {
+    this.progress = progress;
+    this.onFirstEvent = onFirstEvent;
+  }
+
+  Flux<AnswerPart> read(int status, HttpHeaders headers, Flux<byte[]> body) {
+    return body.concatMapIterable(bytes -> parts(status, headers, bytes))
+        .concatWith(Flux.defer(this::end));
+  }
+
+  private List<AnswerPart> parts(int status, HttpHeaders headers, byte[] bytes) {
+    List<SseEvent> events = splitter.feed(bytes);
+    if (!events.isEmpty() && !started) {
+      started = true;
+      onFirstEvent.run();
+    }
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    boolean needsHead = !progress.headDelivered();
+    events.stream().filter(this::isNew).forEach(event -> deliver(event, out));
+    if (out.size() == 0) {
+      return List.of();
+    }
+    AnswerPart.Body part = new AnswerPart.Body(out.toByteArray());
+    return needsHead ? List.of(new AnswerPart.Head(status, headers), part) : List.of(part);
+  }
+
+  private boolean isNew(SseEvent event) {
+    OptionalLong id = event.position();
+    OptionalLong last = progress.lastEvent();
+    return id.isEmpty() || last.isEmpty() || id.getAsLong() > last.getAsLong();
+  }
+
+  private void deliver(SseEvent event, ByteArrayOutputStream out) {
+    out.writeBytes(event.raw());
+    progress.delivered(event.position());
+  }
+
+  private Flux<AnswerPart> end() {
+    return splitter.isBetweenEvents() && started
+        ? Flux.empty()
+        : Flux.error(new BrokenStreamException());
+  }
+
+  /** Signals a stream that ended within an event or before its first. Immutable. */
+  static final class BrokenStreamException extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    BrokenStreamException() {
+      super("The stream ended within an event.");
+    }
+  }
+}
--- a/model/src/main/java/org/endivemux/model/RetryReason.java
+++ b/model/src/main/java/org/endivemux/model/RetryReason.java
@@ -10,6 +10,8 @@
   CONNECT_FAILED,
   /** The backend server answered 503 and so had not run the request. */
   BACKEND_BUSY,
+  /** The backend server answered a repeatable request with an error of its own. */
+  BACKEND_ERROR,
   /** A repeatable request's connection broke before the first byte of the answer. */
   BROKEN_BEFORE_ANSWER,
   /** A repeatable request had no first byte within the limit. */
--- /dev/null
+++ b/model/src/main/java/org/endivemux/model/gateway/ServiceSpec.java
@@ -0,0 +1,16 @@
+package org.endivemux.model.gateway;
+
+import java.util.Optional;
+
+/**
+ * Holds what is declared of a service. Immutable and thread-safe.
+ *
+ * @param maxConnections connections that one backend server accepts from all callers together
+ * @param engine present when the backend servers are model engines
+ * @param capacity present when backend servers may be ordered
+ */
+public record ServiceSpec(
+    ServiceName name,
+    int maxConnections,
+    Optional<EngineProfile> engine,
+    Optional<CapacityBounds> capacity) {}
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
@@ -0,0 +1,33 @@
+package org.endivemux.routing.fleet;
+
+import java.util.Set;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.gateway.ServiceName;
+
+/**
+ * Holds what the choice of a backend server for one try depends on.
+ *
+ * <p>Immutable and thread-safe; times are monotonic nanoseconds.
+ *
+ * @param urgency rank, 0 is the most urgent
+ * @param answerBy when an answer, or its first event, is no longer on time
+ * @param giveUpAt when the caller is told to come back unless a backend server was found
+ * @param avoid backend servers that earlier tries of the request have used
+ */
+public record FleetJob(
+    RequestId id,
+    ServiceName service,
+    OrganisationId organisation,
+    int urgency,
+    long arrivedAt,
+    long answerBy,
+    long giveUpAt,
+    PromptShape prompt,
+    boolean repeatable,
+    Set<BackendServerId> avoid) {
+  public FleetJob {
+    avoid = Set.copyOf(avoid);
+  }
+}
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -0,0 +1,175 @@
+package org.endivemux.routing.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.ServiceSpec;
+
+/**
+ * Binds requests to the backend servers of the listed services.
+ *
+ * <p>Pure: monotonic nanoseconds are passed in and nothing is sent. Invariants: a server that
+ * leaves, rests or was avoided by the job gets nothing while another has room; jobs that wait are
+ * bound by urgency and then by arrival. Not thread-safe: one caller at a time.
+ */
+public final class FleetScheduler {
+  private static final int DEFAULT_SLOTS = 8;
+
+  private final FleetCost cost;
+  private final Map<ServiceName, ServiceSpec> specs = new HashMap<>();
+  private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
+  private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
+  private final Map<RequestId, ServerLoad> running = new HashMap<>();
+
+  /** Holds the server that a job is bound to. Immutable and thread-safe. */
+  public record Binding(FleetJob job, GatewayServer server) {}
+
+  public FleetScheduler(FailureDomain domain) {
+    this.cost = new FleetCost(domain);
+  }
+
+  /** Takes over the declared services. */
+  public void declare(List<ServiceSpec> declared) {
+    specs.clear();
+    declared.forEach(spec -> specs.put(spec.name(), spec));
+  }
+
+  /** Takes over the list of backend servers; one that is no longer listed gets no new work. */
+  public void list(List<GatewayServer> listed) {
+    Map<BackendServerId, GatewayServer> byId = new HashMap<>();
+    listed.forEach(server -> byId.put(server.id(), server));
+    servers.keySet().retainAll(byId.keySet());
+    byId.values()
+        .forEach(
+            server ->
+                servers
+                    .computeIfAbsent(server.id(), id -> new ServerLoad(server, memory(server)))
+                    .listed(server));
+  }
+
+  private long memory(GatewayServer server) {
+    return Optional.ofNullable(specs.get(server.service()))
+        .flatMap(ServiceSpec::engine)
+        .map(engine -> engine.memoryTokens())
+        .orElse(0L);
+  }
+
+  /** Lets a job wait; {@link #bind} gives it a server. */
+  public void offer(FleetJob job) {
+    waiting.computeIfAbsent(job.service(), service -> new TreeSet<>(byTurn())).add(job);
+  }
+
+  private static Comparator<FleetJob> byTurn() {
+    return Comparator.comparingInt(FleetJob::urgency)
+        .thenComparingLong(FleetJob::arrivedAt)
+        .thenComparing(FleetJob::id);
+  }
+
+  /** Binds as many waiting jobs as there is room for. */
+  public List<Binding> bind(long now) {
+    List<Binding> bound = new ArrayList<>();
+    waiting.values().forEach(queue -> bind(queue, bound, now));
+    return bound;
+  }
+
+  private void bind(Set<FleetJob> queue, List<Binding> bound, long now) {
+    var jobs = queue.iterator();
+    boolean hasRoom = true;
+    while (jobs.hasNext() && hasRoom) {
+      FleetJob job = jobs.next();
+      Optional<ServerLoad> chosen = choose(job, now);
+      hasRoom = chosen.isPresent();
+      if (hasRoom) {
+        jobs.remove();
+        chosen.get().started(job);
+        running.put(job.id(), chosen.get());
+        bound.add(new Binding(job, chosen.get().server()));
+      }
+    }
+  }
+
+  private Optional<ServerLoad> choose(FleetJob job, long now) {
+    List<ServerLoad> open =
+        of(job.service())
+            .filter(load -> !job.avoid().contains(load.server().id()))
+            .filter(load -> load.total(now) < slots(load))
+            .toList();
+    List<ServerLoad> fit = open.stream().filter(load -> !load.rests(now)).toList();
+    List<ServerLoad> candidates = fit.isEmpty() ? open : fit;
+    Optional<ServerLoad> home =
+        job.prompt().sessionPart().flatMap(part -> HomeServers.homeOf(part, candidates));
+    return candidates.stream()
+        .min(
+            Comparator.comparingDouble(
+                load -> cost.millis(job, load, home.filter(load::equals).isPresent(), now)));
+  }
+
+  private Stream<ServerLoad> of(ServiceName service) {
+    return servers.values().stream()
+        .filter(load -> load.server().service().equals(service) && !load.server().leaving());
+  }
+
+  private static int slots(ServerLoad load) {
+    return load.server().slots() > 0 ? load.server().slots() : DEFAULT_SLOTS;
+  }
+
+  /** Notes the first event of a job's answer. */
+  public void answered(RequestId id) {
+    Optional.ofNullable(running.get(id)).ifPresent(load -> load.answered(id));
+  }
+
+  /** Notes the end of a job's try; an unknown job is ignored. */
+  public void ended(RequestId id, TryEnd end, long now) {
+    Optional.ofNullable(running.remove(id)).ifPresent(load -> load.ended(id, end, now));
+  }
+
+  /** Removes a waiting job; returns whether it still waited. */
+  public boolean withdraw(FleetJob job) {
+    return Optional.ofNullable(waiting.get(job.service())).filter(q -> q.remove(job)).isPresent();
+  }
+
+  /** Removes and returns the jobs that no server was found for in time. */
+  public List<FleetJob> expire(long now) {
+    List<FleetJob> expired =
+        waiting.values().stream()
+            .flatMap(TreeSet::stream)
+            .filter(job -> now - job.giveUpAt() >= 0)
+            .toList();
+    expired.forEach(this::withdraw);
+    return expired;
+  }
+
+  /** Takes over what another entry has in flight. */
+  public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight, long now) {
+    servers.forEach((id, load) -> load.peerHas(peer, inFlight.getOrDefault(id, 0), now));
+  }
+
+  /** Returns what this entry has in flight at each backend server that has any. */
+  public Map<BackendServerId, Integer> digest() {
+    Map<BackendServerId, Integer> own = new TreeMap<>();
+    servers.forEach(
+        (id, load) -> {
+          if (load.own() > 0) {
+            own.put(id, load.own());
+          }
+        });
+    return own;
+  }
+
+  /** Returns the number of waiting jobs. */
+  public int waiting() {
+    return waiting.values().stream().mapToInt(TreeSet::size).sum();
+  }
+}
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PromptShape.java
@@ -0,0 +1,29 @@
+package org.endivemux.routing.fleet;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Describes a prompt by its parts, in order.
+ *
+ * <p>Immutable and thread-safe.
+ *
+ * @param model weights that read it; parts are shared only within one model
+ * @param tokens length of the whole prompt
+ * @param maxAnswerTokens most tokens that the answer may have
+ */
+public record PromptShape(String model, int tokens, int maxAnswerTokens, List<PromptPart> parts) {
+  public PromptShape {
+    parts = List.copyOf(parts);
+  }
+
+  /** Returns the shape of a request that no model reads. */
+  public static PromptShape none() {
+    return new PromptShape("", 0, 0, List.of());
+  }
+
+  /** Returns the last part that other requests may share; the very last is the request's own. */
+  public Optional<PromptPart> sessionPart() {
+    return parts.size() < 2 ? Optional.empty() : Optional.of(parts.get(parts.size() - 2));
+  }
+}
--- a/entry/src/main/java/org/endivemux/entry/SseEvent.java
+++ b/wire/src/main/java/org/endivemux/wire/sse/SseEvent.java
@@ -1,4 +1,4 @@
-package org.endivemux.entry;
+package org.endivemux.wire.sse;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -10,18 +10,18 @@
  * <p>The array is handed on and never changed.
  */
 @SuppressWarnings("ArrayRecordComponent") // Events are handed on, not compared.
-record SseEvent(byte[] raw) {
+public record SseEvent(byte[] raw) {
   private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
   private static final byte[] DONE = "data: [DONE]".getBytes(StandardCharsets.US_ASCII);
   private static final int MAX_DIGITS = 18;
 
   /** Returns the event with a text. */
-  static SseEvent ofText(String text) {
+  public static SseEvent ofText(String text) {
     return new SseEvent(text.getBytes(StandardCharsets.UTF_8));
   }
 
   /** Returns the token position that the event's id tells. */
-  OptionalLong position() {
+  public OptionalLong position() {
     int line = 0;
     while (line < raw.length && !startsWith(line, ID)) {
       line = nextLine(line);
@@ -30,7 +30,7 @@
   }
 
   /** Returns whether this is the mark of a whole answer. */
-  boolean isDone() {
+  public boolean isDone() {
     return startsWith(0, DONE);
   }
 
