Order cheap servers by load, spread so that one domain may be reclaimed

Ruled out: a fixed number in each domain, which a burst outgrows.

Change: entries send how many requests they have for each service with their polls; the leader plans cheap servers for each domain so that the rest carry the load when all of one domain go; steady ones are given up once cheap ones serve and stand in while too few are left.

--- a/consensus/src/test/java/org/endivemux/consensus/ClusterSimulation.java
+++ b/consensus/src/test/java/org/endivemux/consensus/ClusterSimulation.java
@@ -45,10 +45,36 @@
     random = new Random(seed);
     Set<VmId> named =
         IntStream.range(0, size).mapToObj(ClusterSimulation::vm).collect(Collectors.toSet());
-    IntStream.range(0, size).forEach(i -> nodes.add(new Node(i, named)));
+    IntStream.range(0, size).forEach(i -> nodes.add(new Node(i, Founding.named(named))));
     nodes.forEach(Node::start);
   }
 
+  /** Makes a cluster that the first {@code founders} members form and that others may join. */
+  static ClusterSimulation open(int founders, int joiners, long seed) {
+    ClusterSimulation cluster = new ClusterSimulation(0, seed);
+    IntStream.range(0, founders + joiners).forEach(i -> cluster.add(founders, true));
+    return cluster;
+  }
+
+  /** Adds and starts a member with an empty disk; returns its number. */
+  int add(int founders, boolean mayForm) {
+    Set<VmId> contacts =
+        IntStream.range(0, founders).mapToObj(ClusterSimulation::vm).collect(Collectors.toSet());
+    Node node = new Node(nodes.size(), new Founding(contacts, mayForm, true));
+    nodes.add(node);
+    node.start();
+    return node.number;
+  }
+
+  /** Returns the numbers of the members that the leader knows as voters. */
+  Set<Integer> voters() {
+    Set<DiskId> voting = leader().map(node -> node.status().membership().voters()).orElse(Set.of());
+    return nodes.stream()
+        .filter(node -> voting.contains(node.disk.id))
+        .map(node -> node.number)
+        .collect(Collectors.toSet());
+  }
+
   private static VmId vm(int i) {
     return new VmId("vm" + i);
   }
@@ -154,7 +180,7 @@
   /** Runs one member with its clock, disk and applied commands. */
   final class Node {
     final int number;
-    final Set<VmId> named;
+    final Founding founding;
     final double rate;
     final long offset;
     SimulatedDisk disk;
@@ -165,9 +191,9 @@
     private int life;
     private final Deque<Runnable> inbox = new ArrayDeque<>();
 
-    Node(int number, Set<VmId> named) {
+    Node(int number, Founding founding) {
       this.number = number;
-      this.named = named;
+      this.founding = founding;
       this.rate = 1 + (random.nextDouble() - 0.5) * 0.04;
       this.offset = random.nextInt(1000) * MILLI;
       newDisk();
@@ -192,9 +218,7 @@
     void start() {
       life++;
       Recovered recovered = disk.recover();
-      core =
-          Optional.of(
-              new ConsensusCore(vm(number), Founding.named(named), recovered, TIMING, clock()));
+      core = Optional.of(new ConsensusCore(vm(number), founding, recovered, TIMING, clock()));
       applied = recovered.snapshot().state().toUtf8();
       appliedIndex = recovered.snapshot().index();
       inbox.clear();
--- a/control/src/main/java/org/endivemux/control/client/GatewayLedger.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewayLedger.java
@@ -5,11 +5,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Supplier;
 import org.endivemux.control.message.ControlReply.GatewayNews;
 import org.endivemux.control.message.ControlRequest.GatewayPoll;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.WindowCount;
 
 /**
@@ -28,6 +30,7 @@
 
   private final Clocks clocks;
   private final long windowMillis;
+  private final Supplier<List<ServiceLoad>> loads;
   private final TreeMap<Long, Map<OrganisationId, Long>> windows = new TreeMap<>();
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private List<GatewayServer> servers = List.of();
@@ -36,9 +39,13 @@
   private long offsetMillis;
   private boolean hasOffset;
 
-  public GatewayLedger(Clocks clocks, long windowMillis) {
+  /**
+   * @param loads gives the requests that this process has for each service
+   */
+  public GatewayLedger(Clocks clocks, long windowMillis, Supplier<List<ServiceLoad>> loads) {
     this.clocks = clocks;
     this.windowMillis = windowMillis;
+    this.loads = loads;
     this.heardAt = clocks.nanos();
   }
 
@@ -56,7 +63,12 @@
     }
   }
 
-  synchronized GatewayPoll poll() {
+  GatewayPoll poll() {
+    List<ServiceLoad> present = loads.get();
+    return poll(present);
+  }
+
+  private synchronized GatewayPoll poll(List<ServiceLoad> present) {
     List<WindowCount> counts =
         windows.entrySet().stream()
             .flatMap(
@@ -64,7 +76,7 @@
                     window.getValue().entrySet().stream()
                         .map(e -> new WindowCount(window.getKey(), e.getKey(), e.getValue())))
             .toList();
-    return new GatewayPoll(serversNumber, counts, clocks.millis());
+    return new GatewayPoll(serversNumber, counts, clocks.millis(), present);
   }
 
   void take(GatewayNews news) {
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -8,6 +8,7 @@
 import org.endivemux.model.IdempotencyKey;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.UsageLine;
+import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.WindowCount;
 
 /** Describes what a VM asks of the control leader. All kinds are immutable and thread-safe. */
@@ -59,15 +60,18 @@
    * @param serversNumber of the list of backend servers that the entry has
    * @param counts running totals of recent usage windows
    * @param wallMillis the entry's wall clock when it sent this
+   * @param loads requests that the entry has for each service
    */
-  record GatewayPoll(long serversNumber, List<WindowCount> counts, long wallMillis) {
+  record GatewayPoll(
+      long serversNumber, List<WindowCount> counts, long wallMillis, List<ServiceLoad> loads) {
     public GatewayPoll {
       counts = List.copyOf(counts);
+      loads = List.copyOf(loads);
     }
 
     /** Returns the part of an entry that runs no gateway. */
     public static GatewayPoll none() {
-      return new GatewayPoll(0, List.of(), 0);
+      return new GatewayPoll(0, List.of(), 0, List.of());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -43,6 +43,7 @@
   private final ServerDirectory servers;
   private final WindowCounts counts;
   private final TrueTime time;
+  private final FleetLoad loads;
   private final Sinks.Many<Boolean> news = Sinks.many().multicast().directBestEffort();
 
   public ControlService(
@@ -53,7 +54,8 @@
       Clocks clocks,
       ServerDirectory servers,
       WindowCounts counts,
-      TrueTime time) {
+      TrueTime time,
+      FleetLoad loads) {
     this.self = self;
     this.voter = voter;
     this.registry = registry;
@@ -62,6 +64,7 @@
     this.servers = servers;
     this.counts = counts;
     this.time = time;
+    this.loads = loads;
     voter.onViewChanged(this::announce);
   }
 
@@ -144,6 +147,7 @@
     if (gateway.wallMillis() > 0) {
       time.observed(poll.entry().vm(), gateway.wallMillis());
       counts.add(poll.entry(), gateway.counts(), time.millis());
+      loads.add(poll.entry().vm(), gateway.loads(), clocks.nanos());
     }
   }
 
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/voter/PlannedCapacity.java
@@ -0,0 +1,36 @@
+package org.endivemux.control.voter;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.endivemux.control.state.ControlState;
+import org.endivemux.control.voter.PlatformPort.CapacityOrder;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.routing.fleet.CapacityPlanner;
+
+/** Turns the planner's targets into orders. Confined to the state machine's thread. */
+public final class PlannedCapacity implements GatewayDuties.CapacityTargets {
+  private final CapacityPlanner planner = new CapacityPlanner();
+  private final FleetLoad loads;
+
+  public PlannedCapacity(FleetLoad loads) {
+    this.loads = loads;
+  }
+
+  @Override
+  public List<CapacityOrder> wanted(ControlState state, List<GatewayServer> servers, long now) {
+    return servers.isEmpty()
+        ? List.of()
+        : state.view().gateway().services().stream()
+            .flatMap(spec -> wanted(spec, servers, now))
+            .toList();
+  }
+
+  private Stream<CapacityOrder> wanted(ServiceSpec spec, List<GatewayServer> servers, long now) {
+    return planner.plan(spec, loads.requests(spec.name(), now), servers).stream()
+        .map(
+            target ->
+                new CapacityOrder(
+                    spec.name(), target.failureDomain(), target.kind(), target.count()));
+  }
+}
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -18,6 +19,7 @@
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.control.voter.ControlService;
 import org.endivemux.control.voter.EntryRegistry;
+import org.endivemux.control.voter.FleetLoad;
 import org.endivemux.control.voter.LeaderDuties;
 import org.endivemux.control.voter.PlatformClient;
 import org.endivemux.control.voter.ServerDirectory;
@@ -100,7 +102,8 @@
                     clocks,
                     new ServerDirectory(),
                     new WindowCounts(),
-                    new TrueTime(clocks)));
+                    new TrueTime(clocks),
+                    new FleetLoad()));
     this.duties = service.map(it -> duties(it, inbox));
     Map<VmId, ControlGroup.Caller> callers = callers();
     ControlGroup control = new ControlGroup(callers::get, settings.voters().keySet());
@@ -110,7 +113,7 @@
             control,
             this::info,
             usage,
-            new GatewayLedger(clocks, settings.usageWindow().toMillis()),
+            new GatewayLedger(clocks, settings.usageWindow().toMillis(), List::of),
             clocks);
     Scheduler scheduler = new Scheduler(settings.failureDomain(), Choices.named(settings.policy()));
     this.dispatcher = new Dispatcher(scheduler, clocks::nanos);
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -69,11 +69,12 @@
       MetricRegistry metrics) {
     this.settings = settings;
     this.loop = loop;
-    GatewayLedger ledger = new GatewayLedger(clocks, settings.usageWindow().toMillis());
-    this.follower =
-        new ViewFollower(control, () -> info(incarnation), new UsageLedger(), ledger, clocks);
     Scheduler timers = Schedulers.fromExecutorService(loop.onServer(true).next());
     this.pool = new ServerPool(new FleetScheduler(settings.domain()), clocks::nanos, timers);
+    GatewayLedger ledger =
+        new GatewayLedger(clocks, settings.usageWindow().toMillis(), pool::loads);
+    this.follower =
+        new ViewFollower(control, () -> info(incarnation), new UsageLedger(), ledger, clocks);
     GatewayCounters counters = new GatewayCounters(metrics);
     this.gateway =
         new Gateway(
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
@@ -2,14 +2,15 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.function.Consumer;
 import org.endivemux.consensus.Founding;
 import org.endivemux.consensus.Timing;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.control.voter.ControlService;
 import org.endivemux.control.voter.EntryRegistry;
+import org.endivemux.control.voter.FleetLoad;
 import org.endivemux.control.voter.GatewayDuties;
+import org.endivemux.control.voter.PlannedCapacity;
 import org.endivemux.control.voter.ServerDirectory;
 import org.endivemux.control.voter.TrueTime;
 import org.endivemux.control.voter.UsageInbox;
@@ -47,9 +48,18 @@
     ServerDirectory directory = new ServerDirectory();
     WindowCounts counts = new WindowCounts();
     TrueTime time = new TrueTime(clocks);
+    FleetLoad loads = new FleetLoad();
     this.service =
         new ControlService(
-            self, voter, new EntryRegistry(), new UsageInbox(), clocks, directory, counts, time);
+            self,
+            voter,
+            new EntryRegistry(),
+            new UsageInbox(),
+            clocks,
+            directory,
+            counts,
+            time,
+            loads);
     this.duties =
         new GatewayDuties(
             voter,
@@ -64,7 +74,7 @@
             time,
             clocks,
             settings.usageWindow(),
-            (state, servers, now) -> List.of(),
+            new PlannedCapacity(loads),
             metrics);
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -10,6 +10,7 @@
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler;
@@ -83,6 +84,13 @@
     return RETRY_MIN_MILLIS + Math.floorMod(id.hashCode() * 31L, RETRY_SPREAD_MILLIS);
   }
 
+  /** Returns the requests that wait or run, for each service. */
+  public List<ServiceLoad> loads() {
+    synchronized (lock) {
+      return scheduler.loads();
+    }
+  }
+
   private void withdraw(FleetJob job) {
     boolean bound;
     synchronized (lock) {
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
@@ -0,0 +1,104 @@
+package org.endivemux.routing.fleet;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.Kind;
+import org.endivemux.model.gateway.CapacityBounds;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.ServiceSpec;
+
+/**
+ * Decides how many backend servers of each kind a service wants in each failure domain.
+ *
+ * <p>Pure: monotonic nanoseconds are passed in. Cheap ones carry the load, spread so that the rest
+ * still carry it when all of one domain are reclaimed at once; steady ones stand in while cheap
+ * ones are not to be had. Invariant: the wanted numbers stay within the bounds of each domain, both
+ * kinds together. Confined to the leader's duties.
+ */
+public final class CapacityPlanner {
+  /** Requests that one engine serves at a time without slowing its streams beyond their targets. */
+  private static final double REQUESTS_PER_SERVER = 6;
+
+  /** Weight of the newest sample when the load grows, so that a burst is followed at once. */
+  private static final double RISE = 0.5;
+
+  /** Weight when it falls: booting again takes longer than keeping a cheap server. */
+  private static final double FALL = 0.03;
+
+  /** Fewest servers in a domain, so that the failure of one does not empty it. */
+  private static final int FEWEST = 2;
+
+  /** With less than this share of what is needed, steady servers stand in for cheap ones. */
+  private static final double STAND_IN_BELOW = 0.6;
+
+  private final Map<ServiceName, Double> smoothed = new HashMap<>();
+
+  /** Holds the wanted number of one kind in one domain. Immutable and thread-safe. */
+  public record Target(FailureDomain failureDomain, Kind kind, int count) {}
+
+  /**
+   * Returns the wanted numbers of a service.
+   *
+   * @param requests requests of all entries for the service, waiting or running
+   * @param listed all listed backend servers
+   */
+  public List<Target> plan(ServiceSpec spec, int requests, Collection<GatewayServer> listed) {
+    double load = smooth(spec.name(), requests);
+    return spec.capacity()
+        .map(bounds -> plan(bounds, load / REQUESTS_PER_SERVER, ofService(spec, listed)))
+        .orElse(List.of());
+  }
+
+  private double smooth(ServiceName service, int requests) {
+    return smoothed.merge(
+        service,
+        (double) requests,
+        (known, sample) -> known + (sample > known ? RISE : FALL) * (sample - known));
+  }
+
+  private static List<GatewayServer> ofService(ServiceSpec spec, Collection<GatewayServer> listed) {
+    return listed.stream()
+        .filter(server -> server.service().equals(spec.name()) && !server.leaving())
+        .toList();
+  }
+
+  private static List<Target> plan(
+      CapacityBounds bounds, double needed, List<GatewayServer> serving) {
+    int domains = bounds.prices().size();
+    int spread = (int) Math.ceil(needed / Math.max(1, domains - 1));
+    int each = Math.min(bounds.max(), Math.max(Math.max(FEWEST, bounds.min()), spread));
+    long missing = Math.max(0, (long) Math.ceil(needed * STAND_IN_BELOW) - serving.size());
+    return bounds.prices().keySet().stream()
+        .sorted()
+        .flatMap(domain -> targets(domain, bounds, each, missing, serving))
+        .toList();
+  }
+
+  private static Stream<Target> targets(
+      FailureDomain domain,
+      CapacityBounds bounds,
+      int each,
+      long missing,
+      List<GatewayServer> serving) {
+    long cheap = count(domain, Kind.CHEAP, serving);
+    long steady = count(domain, Kind.STEADY, serving);
+    boolean replaced = cheap >= each;
+    long standIn = cheap == 0 && missing > 0 ? Math.min(missing, each) : 0;
+    long kept = replaced ? 0 : Math.min(steady, each);
+    long wantedSteady = Math.min(bounds.max() - 1L, Math.max(kept, standIn));
+    return Stream.of(
+        new Target(domain, Kind.CHEAP, (int) Math.min(each, bounds.max() - wantedSteady)),
+        new Target(domain, Kind.STEADY, (int) wantedSteady));
+  }
+
+  private static long count(FailureDomain domain, Kind kind, List<GatewayServer> serving) {
+    return serving.stream()
+        .filter(server -> server.failureDomain().equals(domain) && server.kind() == kind)
+        .count();
+  }
+}
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -14,6 +14,7 @@
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
 
@@ -168,6 +169,16 @@
     return own;
   }
 
+  /** Returns the jobs that wait or run, for each service. */
+  public List<ServiceLoad> loads() {
+    Map<ServiceName, Integer> counts = new TreeMap<>();
+    waiting.forEach((service, queue) -> counts.merge(service, queue.size(), Integer::sum));
+    running.values().forEach(load -> counts.merge(load.server().service(), 1, Integer::sum));
+    return counts.entrySet().stream()
+        .map(entry -> new ServiceLoad(entry.getKey(), entry.getValue()))
+        .toList();
+  }
+
   /** Returns the number of waiting jobs. */
   public int waiting() {
     return waiting.values().stream().mapToInt(TreeSet::size).sum();
--- /dev/null
+++ b/routing/src/test/java/org/endivemux/routing/fleet/CapacityPlannerTest.java
@@ -0,0 +1,83 @@
+package org.endivemux.routing.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.Kind;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.routing.fleet.CapacityPlanner.Target;
+
+/** Shows what is ordered on steady days, in bursts and when a domain is reclaimed. */
+final class CapacityPlannerTest {
+  private static List<GatewayServer> cheapInEachDomain(int count) {
+    List<GatewayServer> servers = new ArrayList<>();
+    Fleet.DOMAINS.forEach(
+        domain ->
+            IntStream.range(0, count)
+                .forEach(
+                    i -> servers.add(Fleet.server(servers.size(), domain, Kind.CHEAP, false))));
+    return servers;
+  }
+
+  private static List<Target> settled(CapacityPlanner planner, int load, List<GatewayServer> now) {
+    IntStream.range(0, 40).forEach(i -> planner.plan(Fleet.spec(), load, now));
+    return planner.plan(Fleet.spec(), load, now);
+  }
+
+  private static int sum(List<Target> targets, Kind kind) {
+    return targets.stream().filter(t -> t.kind() == kind).mapToInt(Target::count).sum();
+  }
+
+  @Example
+  void steadyServersStayUntilCheapOnesServe() {
+    List<Target> targets = new CapacityPlanner().plan(Fleet.spec(), 10, Fleet.oneInEachDomain());
+    assertThat(sum(targets, Kind.STEADY)).isEqualTo(4);
+    assertThat(sum(targets, Kind.CHEAP)).isGreaterThanOrEqualTo(4);
+  }
+
+  @Example
+  void cheapServersCarryAQuietDayAlone() {
+    List<Target> targets = settled(new CapacityPlanner(), 10, cheapInEachDomain(2));
+    assertThat(sum(targets, Kind.STEADY)).isZero();
+  }
+
+  @Property(tries = 60, seed = "9")
+  void boundsHoldForBothKindsTogether(@ForAll @IntRange(min = 0, max = 2000) int load) {
+    List<Target> targets = settled(new CapacityPlanner(), load, Fleet.oneInEachDomain());
+    Fleet.DOMAINS.forEach(domain -> assertThat(inDomain(targets, domain)).isBetween(1, 6));
+  }
+
+  private static int inDomain(List<Target> targets, FailureDomain domain) {
+    return targets.stream()
+        .filter(target -> target.failureDomain().equals(domain))
+        .mapToInt(Target::count)
+        .sum();
+  }
+
+  @Property(tries = 30, seed = "10")
+  void monthEndBurstLeavesEnoughWhenADomainIsReclaimed(
+      @ForAll @IntRange(min = 0, max = 90) int load) {
+    List<Target> targets = settled(new CapacityPlanner(), load, cheapInEachDomain(2));
+    int largest =
+        Fleet.DOMAINS.stream().mapToInt(domain -> inDomain(targets, domain)).max().orElse(0);
+    int left = targets.stream().mapToInt(Target::count).sum() - largest;
+    assertThat(left * 6).isGreaterThanOrEqualTo(load);
+  }
+
+  @Example
+  void steadyServersStandInWhenTooFewAreLeft() {
+    List<GatewayServer> left =
+        cheapInEachDomain(1).stream()
+            .filter(server -> server.failureDomain().equals(Fleet.DOMAINS.get(0)))
+            .toList();
+    List<Target> targets = settled(new CapacityPlanner(), 60, left);
+    assertThat(sum(targets, Kind.STEADY)).isPositive();
+  }
+}
--- /dev/null
+++ b/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
@@ -0,0 +1,87 @@
+package org.endivemux.routing.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.Kind;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.gateway.CapacityBounds;
+import org.endivemux.model.gateway.EngineProfile;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.ServiceSpec;
+
+/** Makes fleets and jobs for tests. Stateless. */
+final class Fleet {
+  static final ServiceName LLM = new ServiceName("llm");
+  static final long MILLI = 1_000_000L;
+  static final List<FailureDomain> DOMAINS =
+      Stream.of("a", "b", "c", "d").map(FailureDomain::new).toList();
+  private static final int SLOTS = 8;
+
+  private Fleet() {}
+
+  static ServiceSpec spec() {
+    return new ServiceSpec(
+        LLM,
+        100,
+        Optional.of(new EngineProfile(SLOTS, 100_000, 6)),
+        Optional.of(
+            new CapacityBounds(
+                1,
+                6,
+                4,
+                0.2,
+                Map.of(
+                    DOMAINS.get(0),
+                    1.0,
+                    DOMAINS.get(1),
+                    1.0,
+                    DOMAINS.get(2),
+                    1.0,
+                    DOMAINS.get(3),
+                    1.0))));
+  }
+
+  static GatewayServer server(int number, FailureDomain domain, Kind kind, boolean leaving) {
+    return new GatewayServer(
+        new BackendServerId("s" + number), LLM, "10.0.0." + number, domain, SLOTS, leaving, kind);
+  }
+
+  static List<GatewayServer> oneInEachDomain() {
+    return IntStream.range(0, DOMAINS.size())
+        .mapToObj(i -> server(i, DOMAINS.get(i), Kind.STEADY, false))
+        .toList();
+  }
+
+  static FleetJob job(int number, int urgency, PromptShape prompt) {
+    return new FleetJob(
+        new RequestId("r" + number),
+        LLM,
+        new OrganisationId("o"),
+        urgency,
+        number,
+        number + 500 * MILLI,
+        number + 400 * MILLI,
+        prompt,
+        true,
+        Set.of());
+  }
+
+  static PromptShape prompt(String session) {
+    return new PromptShape(
+        "m",
+        5000,
+        100,
+        List.of(
+            new PromptPart("shared", 500),
+            new PromptPart(session, 4000),
+            new PromptPart(session + "-own", 500)));
+  }
+}
--- /dev/null
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -0,0 +1,102 @@
+package org.endivemux.routing.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import org.endivemux.model.Kind;
+import org.endivemux.model.RequestId;
+import org.endivemux.routing.fleet.FleetScheduler.Binding;
+
+/** Shows who is bound, in which order and to which server. */
+final class FleetSchedulerTest {
+  private static FleetScheduler scheduler() {
+    FleetScheduler scheduler = new FleetScheduler(Fleet.DOMAINS.get(0));
+    scheduler.declare(List.of(Fleet.spec()));
+    return scheduler;
+  }
+
+  private static Binding bindOne(FleetScheduler scheduler, FleetJob job, long now) {
+    scheduler.offer(job);
+    return scheduler.bind(now).get(0);
+  }
+
+  @Example
+  void urgentJobsThatCameLaterGoFirst() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.offer(Fleet.job(1, 2, PromptShape.none()));
+    scheduler.offer(Fleet.job(2, 0, PromptShape.none()));
+    scheduler.list(Fleet.oneInEachDomain());
+    assertThat(scheduler.bind(0)).extracting(it -> it.job().urgency()).containsExactly(0, 2);
+  }
+
+  @Example
+  void nothingIsBoundBeyondTheSlots() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.list(Fleet.oneInEachDomain());
+    IntStream.range(0, 50).forEach(i -> scheduler.offer(Fleet.job(i, 1, PromptShape.none())));
+    assertThat(scheduler.bind(0)).hasSize(32);
+    assertThat(scheduler.waiting()).isEqualTo(18);
+  }
+
+  @Example
+  void serverThatLeavesGetsNothing() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.list(
+        List.of(
+            Fleet.server(0, Fleet.DOMAINS.get(0), Kind.CHEAP, true),
+            Fleet.server(1, Fleet.DOMAINS.get(1), Kind.CHEAP, false)));
+    Binding bound = bindOne(scheduler, Fleet.job(1, 0, PromptShape.none()), 0);
+    assertThat(bound.server().id().value()).isEqualTo("s1");
+  }
+
+  @Example
+  void serverThatFailedRestsWhileAnotherHasRoom() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.list(Fleet.oneInEachDomain());
+    Binding first = bindOne(scheduler, Fleet.job(1, 0, PromptShape.none()), 0);
+    scheduler.ended(first.job().id(), TryEnd.FAILED, 0);
+    Binding second = bindOne(scheduler, Fleet.job(2, 0, PromptShape.none()), Fleet.MILLI);
+    assertThat(second.server()).isNotEqualTo(first.server());
+  }
+
+  @Example
+  void entriesThatNeverTalkNameTheSameHomeForASession() {
+    Map<String, String> homes = new HashMap<>();
+    IntStream.range(0, 40)
+        .forEach(
+            i -> {
+              FleetScheduler scheduler = scheduler();
+              scheduler.list(Fleet.oneInEachDomain());
+              String session = "session" + i % 20;
+              Binding bound = bindOne(scheduler, Fleet.job(i, 0, Fleet.prompt(session)), 0);
+              String before = homes.putIfAbsent(session, bound.server().id().value());
+              assertThat(before).isIn(null, bound.server().id().value());
+            });
+    assertThat(homes.values().stream().distinct().count()).isGreaterThan(2);
+  }
+
+  @Example
+  void loadOfOtherEntriesCounts() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.list(Fleet.oneInEachDomain());
+    Map<org.endivemux.model.BackendServerId, Integer> theirs = new HashMap<>();
+    Fleet.oneInEachDomain().stream().skip(1).forEach(server -> theirs.put(server.id(), 8));
+    scheduler.peerDigest("other", theirs, 0);
+    IntStream.range(0, 12).forEach(i -> scheduler.offer(Fleet.job(i, 1, PromptShape.none())));
+    assertThat(scheduler.bind(0)).hasSize(8);
+  }
+
+  @Example
+  void jobsThatNoServerTookExpire() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.offer(Fleet.job(1, 1, PromptShape.none()));
+    assertThat(scheduler.expire(399 * Fleet.MILLI)).isEmpty();
+    assertThat(scheduler.expire(401 * Fleet.MILLI))
+        .extracting(FleetJob::id)
+        .containsExactly(new RequestId("r1"));
+  }
+}
--- /dev/null
+++ b/routing/src/test/java/org/endivemux/routing/fleet/RetryAllowanceTest.java
@@ -0,0 +1,56 @@
+package org.endivemux.routing.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Shows that all entries together stay within the shared limit of repeats. */
+final class RetryAllowanceTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final int WINDOW = 10;
+  private static final int ENTRIES = 6;
+  private static final double RATIO = 0.2;
+  private static final double SLACK = 50;
+
+  /** Every request fails and each entry repeats as often as it may, at uneven rates. */
+  @Property(tries = 20, seed = "4")
+  void failingServiceIsNotFloodedInAnyWindow(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<RetryAllowance> entries =
+        Stream.generate(() -> new RetryAllowance(RATIO, WINDOW, SLACK)).limit(ENTRIES).toList();
+    List<Long> requests = new ArrayList<>();
+    List<Long> repeats = new ArrayList<>();
+    IntStream.range(0, 4000)
+        .forEach(
+            i -> {
+              long now = 50 * SECOND + i * SECOND / 100;
+              RetryAllowance entry = entries.get(random.nextInt(1 + random.nextInt(ENTRIES)));
+              entry.requested(now);
+              requests.add(now);
+              if (entry.tryRepeat(ENTRIES, now)) {
+                repeats.add(now);
+              }
+            });
+    IntStream.range(0, 40)
+        .mapToLong(second -> (50L + second) * SECOND)
+        .forEach(
+            from ->
+                assertThat((double) within(repeats, from))
+                    .isLessThanOrEqualTo(
+                        RATIO
+                                * Math.max(
+                                    within(requests, from), within(requests, from - 5 * SECOND))
+                            + SLACK));
+    assertThat(repeats).isNotEmpty();
+  }
+
+  private static long within(List<Long> times, long from) {
+    return times.stream().filter(at -> at >= from && at < from + WINDOW * SECOND).count();
+  }
+}
