--- a/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
@@ -78,6 +78,7 @@
       return fail(file + ": tls: " + e.getMessage());
     } catch (StorageException e) {
       logger.atSevere().log("event=data_folder_unusable cause=\"%s\"", e.getMessage());
+      Logging.flush();
       return DATA_ERROR;
     }
   }
@@ -98,6 +99,7 @@
       return fail(file + ": the port " + e.localPort() + " is in use; stop the other process.");
     } catch (StorageException e) {
       logger.atSevere().log("event=data_folder_unusable cause=\"%s\"", e.getMessage());
+      Logging.flush();
       return DATA_ERROR;
     }
   }
@@ -113,15 +115,18 @@
   private static void stop(GatewayDaemon daemon) {
     daemon.stop().block();
     logger.atInfo().log("event=stopped");
+    Logging.flush();
   }
 
   private static void stop(Daemon daemon) {
     daemon.stop().block();
     logger.atInfo().log("event=stopped");
+    Logging.flush();
   }
 
   private static void die(Throwable error) {
     logger.atSevere().withCause(error).log("event=fatal remedy=\"see the page on lost disks\"");
+    Logging.flush();
     Runtime.getRuntime().halt(DATA_ERROR);
   }
 
--- a/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
@@ -43,7 +43,7 @@
   private final LoadDigests loads;
   private final Function<InetSocketAddress, PeerLink> dial;
   private final Map<String, PeerLink> links = new ConcurrentHashMap<>();
-  private volatile PeerDigest last = new PeerDigest(Map.of());
+  private volatile PeerDigest last = new PeerDigest(List.of());
   private final AtomicLong credit = new AtomicLong(BYTES_PER_SECOND);
   private volatile Disposable rounds = () -> {};
 
--- a/daemon/src/main/java/org/endivemux/daemon/PeerDigest.java
+++ b/daemon/src/main/java/org/endivemux/daemon/PeerDigest.java
@@ -1,7 +1,7 @@
 package org.endivemux.daemon;
 
-import java.util.Map;
-import org.endivemux.model.BackendServerId;
+import java.util.List;
+import org.endivemux.model.InFlightAt;
 
 /** Tells other entries what one has in flight at each backend server. Immutable, thread-safe. */
-record PeerDigest(Map<BackendServerId, Integer> inFlight) {}
+record PeerDigest(List<InFlightAt> inFlight) {}
--- a/entry/src/main/java/org/endivemux/entry/Dispatcher.java
+++ b/entry/src/main/java/org/endivemux/entry/Dispatcher.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.DeclarationIndex;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.RequestId;
 import org.endivemux.routing.Assignment;
 import org.endivemux.routing.Job;
@@ -140,7 +141,7 @@
   }
 
   @Override
-  public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight) {
+  public void peerDigest(String peer, List<InFlightAt> inFlight) {
     synchronized (lock) {
       scheduler.peerDigest(peer, inFlight, nanos.getAsLong());
     }
@@ -148,7 +149,7 @@
   }
 
   @Override
-  public Map<BackendServerId, Integer> digest() {
+  public List<InFlightAt> digest() {
     synchronized (lock) {
       return scheduler.digest();
     }
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -57,6 +57,8 @@
    * Holds an answer whose head is here and whose body is not yet read.
    *
    * @param notRun whether the backend server says that it has not run the request
+   * @param elsewhere whether the address belongs to another backend server now
    */
-  record Answer(int status, HttpHeaders headers, boolean notRun, Flux<byte[]> body) {}
+  record Answer(
+      int status, HttpHeaders headers, boolean notRun, boolean elsewhere, Flux<byte[]> body) {}
 }
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -137,7 +137,20 @@
   public Flux<AnswerPart> run(Admitted request, byte[] body) {
     return relay
         .run(request, body)
-        .doOnComplete(
-            () -> counters.answered(request.route(), nanos.getAsLong() - request.arrivedAt()));
+        .doOnComplete(() -> answered(request))
+        .doOnCancel(
+            () ->
+                logger.atInfo().log(
+                    "event=caller_left request=%s afterMillis=%d",
+                    request.head().id(),
+                    (nanos.getAsLong() - request.arrivedAt()) / NANOS_PER_MILLI));
+  }
+
+  private void answered(Admitted request) {
+    long took = nanos.getAsLong() - request.arrivedAt();
+    counters.answered(request.route(), took);
+    logger.atInfo().log(
+        "event=answered request=%s route=%s tookMillis=%d",
+        request.head().id(), request.route().name(), took / NANOS_PER_MILLI);
   }
 }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -180,9 +180,14 @@
             progress.lastEvent(),
             maxConnections(request.service()),
             left);
-    logger.atFine().log(
-        "event=try request=%s try=%d backend=%s",
-        request.head().id(), progress.sends(), binding.server().id());
+    logger.atInfo().log(
+        "event=sent request=%s route=%s try=%d backend=%s waitedMillis=%d version=%d",
+        request.head().id(),
+        request.route().name(),
+        progress.sends(),
+        binding.server().id(),
+        (sentAt - request.arrivedAt()) / NANOS_PER_MILLI,
+        table.get().config().version());
     return backends
         .send(call, answer -> read(request, progress, id, sentAt, answer))
         .transform(parts -> limited(request, progress, parts))
@@ -213,8 +218,8 @@
   }
 
   private static TryEnd endOf(Throwable error) {
-    if (error instanceof NotRunException) {
-      return TryEnd.FULL;
+    if (error instanceof NotRunException it) {
+      return it.elsewhere ? TryEnd.GONE : TryEnd.FULL;
     }
     return error instanceof ServerErrorException ? TryEnd.ERROR : TryEnd.FAILED;
   }
@@ -222,7 +227,7 @@
   private Flux<AnswerPart> read(
       Admitted request, Progress progress, RequestId id, long sentAt, Answer answer) {
     if (answer.notRun()) {
-      return answer.body().thenMany(Flux.error(new NotRunException()));
+      return answer.body().thenMany(Flux.error(new NotRunException(answer.elsewhere())));
     }
     if (request.route().kind() == RequestKind.STREAM && answer.status() == OK) {
       StreamReader reader =
@@ -345,8 +350,11 @@
   private static final class NotRunException extends RuntimeException {
     private static final long serialVersionUID = 1;
 
-    NotRunException() {
+    private final boolean elsewhere;
+
+    NotRunException(boolean elsewhere) {
       super("The backend server did not take the request.", null, false, false);
+      this.elsewhere = elsewhere;
     }
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import org.endivemux.model.BackendServerId;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayConfig;
@@ -138,7 +138,7 @@
   }
 
   @Override
-  public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight) {
+  public void peerDigest(String peer, List<InFlightAt> inFlight) {
     synchronized (lock) {
       scheduler.peerDigest(peer, inFlight, nanos.getAsLong());
     }
@@ -146,7 +146,7 @@
   }
 
   @Override
-  public Map<BackendServerId, Integer> digest() {
+  public List<InFlightAt> digest() {
     synchronized (lock) {
       return scheduler.digest();
     }
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -86,7 +86,7 @@
   }
 
   private static BackendPort.Answer answer(int status, boolean notRun, Flux<byte[]> body) {
-    return new BackendPort.Answer(status, new DefaultHttpHeaders(), notRun, body);
+    return new BackendPort.Answer(status, new DefaultHttpHeaders(), notRun, false, body);
   }
 
   private static Flux<byte[]> bytes(String... chunks) {
--- a/integration/src/test/java/org/endivemux/integration/Cluster.java
+++ b/integration/src/test/java/org/endivemux/integration/Cluster.java
@@ -30,7 +30,8 @@
 final class Cluster implements AutoCloseable {
   static final String OPERATOR = "emx_operator";
   private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger(20_000 + new Random().nextInt(50) * 200);
+      new AtomicInteger(
+          20_000 + Integer.getInteger("fork.number", 1) * 3000 + new Random().nextInt(10) * 200);
   private static final Random IDS = new Random();
 
   final List<Vm> vms = new ArrayList<>();
--- a/integration/src/test/java/org/endivemux/integration/SlopesBench.java
+++ b/integration/src/test/java/org/endivemux/integration/SlopesBench.java
@@ -2,12 +2,9 @@
 
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.IntFunction;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.endivemux.consensus.Envelope;
@@ -31,6 +28,7 @@
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.IdempotencyTime;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Incarnation;
 import org.endivemux.model.KeyRole;
 import org.endivemux.model.Keys;
@@ -240,14 +238,16 @@
     for (int size : List.of(10, 40, 160)) {
       Scheduler scheduler = new Scheduler(new FailureDomain("d1"), Choices.leastCost());
       scheduler.configure(new DeclarationIndex(declaration(10, size, 1)), id -> false);
-      Map<BackendServerId, Integer> digest =
-          IntStream.range(0, size).boxed().collect(Collectors.toMap(i -> engine(i).id(), i -> 3));
+      List<InFlightAt> digest =
+          IntStream.range(0, size)
+              .mapToObj(i -> new InFlightAt(InFlightAt.tag(engine(i).id()), 3, 500))
+              .toList();
       byte[] bytes = MessagePackCodec.encode(digest);
       double cpu =
           cpuMicros(
               5000,
               i -> {
-                scheduler.peerDigest("vm2", new HashMap<>(digest), i);
+                scheduler.peerDigest("vm2", digest, i);
                 return MessagePackCodec.encode(digest);
               });
       System.out.printf("SLOPE digest of engines | %d | %d | - | %.1f%n", size, bytes.length, cpu);
--- a/routing/src/main/java/org/endivemux/routing/Scheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/Scheduler.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.ClassName;
@@ -17,6 +18,7 @@
 import org.endivemux.model.Declaration.RequestClass;
 import org.endivemux.model.DeclarationIndex;
 import org.endivemux.model.FailureDomain;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.routing.Choice.Candidate;
@@ -267,19 +269,24 @@
   }
 
   /** Takes over what another entry says it has in flight at each backend server. */
-  public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight, long now) {
+  public void peerDigest(String peer, List<InFlightAt> inFlight, long now) {
+    Map<Integer, Integer> requests =
+        inFlight.stream()
+            .collect(Collectors.toMap(InFlightAt::server, InFlightAt::requests, Integer::sum));
     servers
         .values()
-        .forEach(state -> state.peerHas(peer, inFlight.getOrDefault(state.server.id(), 0), now));
+        .forEach(
+            state ->
+                state.peerHas(
+                    peer, requests.getOrDefault(InFlightAt.tag(state.server.id()), 0), now));
   }
 
   /** Returns the own requests in flight at each backend server that has any. */
-  public Map<BackendServerId, Integer> digest() {
-    Map<BackendServerId, Integer> own = new TreeMap<>();
-    servers.values().stream()
+  public List<InFlightAt> digest() {
+    return servers.values().stream()
         .filter(state -> state.own() > 0)
-        .forEach(state -> own.put(state.server.id(), state.own()));
-    return own;
+        .map(state -> new InFlightAt(InFlightAt.tag(state.server.id()), state.own(), 0))
+        .toList();
   }
 
   /** Returns the number of waiting jobs. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
@@ -30,8 +30,8 @@
   /** Weight when it falls: booting again takes longer than keeping a cheap server. */
   private static final double FALL = 0.03;
 
-  /** Fewest servers in a domain, so that the failure of one does not empty it. */
-  private static final int FEWEST = 2;
+  /** Fewest servers in a domain: one may fail and a burst outlast the boot of more. */
+  private static final int FEWEST = 3;
 
   /** With less than this share of what is needed, steady servers stand in for cheap ones. */
   private static final double STAND_IN_BELOW = 0.6;
@@ -72,27 +72,30 @@
     int domains = bounds.prices().size();
     int spread = (int) Math.ceil(needed / Math.max(1, domains - 1));
     int each = Math.min(bounds.max(), Math.max(Math.max(FEWEST, bounds.min()), spread));
+    long cheap = serving.stream().filter(server -> server.kind() == Kind.CHEAP).count();
     long missing = Math.max(0, (long) Math.ceil(needed * STAND_IN_BELOW) - serving.size());
+    boolean cheapSuffice = cheap > 0 && cheap >= needed;
     return bounds.prices().keySet().stream()
         .sorted()
-        .flatMap(domain -> targets(domain, bounds, each, missing, serving))
+        .flatMap(domain -> targets(domain, bounds.max(), each, missing, cheapSuffice, serving))
         .toList();
   }
 
   private static Stream<Target> targets(
       FailureDomain domain,
-      CapacityBounds bounds,
+      int max,
       int each,
       long missing,
+      boolean cheapSuffice,
       List<GatewayServer> serving) {
     long cheap = count(domain, Kind.CHEAP, serving);
     long steady = count(domain, Kind.STEADY, serving);
-    boolean replaced = cheap >= each;
-    long standIn = cheap == 0 && missing > 0 ? Math.min(missing, each) : 0;
+    boolean replaced = cheapSuffice || cheap >= Math.min(each, FEWEST);
+    long standIn = cheap == 0 ? Math.min(missing, each) : 0;
     long kept = replaced ? 0 : Math.min(steady, each);
-    long wantedSteady = Math.min(bounds.max() - 1L, Math.max(kept, standIn));
+    long wantedSteady = Math.min(max - 1L, Math.max(kept, standIn));
     return Stream.of(
-        new Target(domain, Kind.CHEAP, (int) Math.min(each, bounds.max() - wantedSteady)),
+        new Target(domain, Kind.CHEAP, (int) Math.min(each, max - wantedSteady)),
         new Target(domain, Kind.STEADY, (int) wantedSteady));
   }
 
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
@@ -11,7 +11,7 @@
   private static final double READ_TOKENS_PER_MILLI = 125;
 
   /** Engines slow down for all by this with each request in their batch. */
-  private static final double MILLIS_PER_BATCHED = 1.5;
+  private static final double MILLIS_PER_BATCHED = 8;
 
   /** A plain service answers one request at a time in each slot. */
   private static final double MILLIS_PER_USED_SLOT = 15;
@@ -44,7 +44,7 @@
     int shared = sharedTokens(job.prompt());
     int covered = isHome ? shared : Math.min(shared, load.covered(job.prompt()));
     double again = (shared - covered) * READ_AGAIN_FACTOR;
-    return total * MILLIS_PER_BATCHED + (load.unreadTokens() + again) / READ_TOKENS_PER_MILLI;
+    return total * MILLIS_PER_BATCHED + (load.unreadTokens(now) + again) / READ_TOKENS_PER_MILLI;
   }
 
   private static int sharedTokens(PromptShape prompt) {
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -9,9 +9,12 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceLoad;
@@ -165,20 +168,24 @@
   }
 
   /** Takes over what another entry has in flight. */
-  public void peerDigest(String peer, Map<BackendServerId, Integer> inFlight, long now) {
-    servers.forEach((id, load) -> load.peerHas(peer, inFlight.getOrDefault(id, 0), now));
+  public void peerDigest(String peer, List<InFlightAt> inFlight, long now) {
+    Map<Integer, InFlightAt> byTag =
+        inFlight.stream()
+            .collect(
+                Collectors.toMap(InFlightAt::server, Function.identity(), (one, other) -> one));
+    servers.forEach(
+        (id, load) -> load.peerHas(peer, Optional.ofNullable(byTag.get(InFlightAt.tag(id))), now));
   }
 
   /** Returns what this entry has in flight at each backend server that has any. */
-  public Map<BackendServerId, Integer> digest() {
-    Map<BackendServerId, Integer> own = new TreeMap<>();
-    servers.forEach(
-        (id, load) -> {
-          if (load.own() > 0) {
-            own.put(id, load.own());
-          }
-        });
-    return own;
+  public List<InFlightAt> digest() {
+    return servers.values().stream()
+        .filter(load -> load.own() > 0)
+        .map(
+            load ->
+                new InFlightAt(
+                    InFlightAt.tag(load.server().id()), load.own(), load.ownUnreadTokens()))
+        .toList();
   }
 
   /** Returns the jobs that wait or run, for each service. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -3,6 +3,9 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayServer;
 
@@ -17,13 +20,17 @@
   private static final long FIRST_REST_NANOS = 200_000_000L;
   private static final int MOST_DOUBLINGS = 4;
   private static final long PEERS_FORGOTTEN_NANOS = 1_500_000_000L;
+
+  /** A newer list names the server that has the address by then. */
+  private static final long LIST_LAG_NANOS = 2_000_000_000L;
+
   private static final double ERROR_WEIGHT = 0.08;
 
   /** Part of an engine's memory that is taken for kept prompts. */
   private static final double KEPT_SHARE = 0.5;
 
   private final Map<RequestId, Running> running = new LinkedHashMap<>();
-  private final Map<String, PeerCount> peers = new HashMap<>();
+  private final Map<String, PeerLoad> peers = new HashMap<>();
   private final PrefixMemory prefixes;
   private GatewayServer server;
   private long unreadTokens;
@@ -49,15 +56,25 @@
   }
 
   int total(long now) {
-    return own()
-        + peers.values().stream()
-            .filter(peer -> now - peer.at() < PEERS_FORGOTTEN_NANOS)
-            .mapToInt(PeerCount::count)
-            .sum();
+    return own() + fresh(now).mapToInt(PeerLoad::requests).sum();
+  }
+
+  /** Returns the prompt tokens that tries of all entries have still to be read. */
+  long unreadTokens(long now) {
+    return unreadTokens + fresh(now).mapToLong(PeerLoad::unread).sum();
   }
 
-  void peerHas(String peer, int count, long now) {
-    peers.put(peer, new PeerCount(count, now));
+  private Stream<PeerLoad> fresh(long now) {
+    return peers.values().stream().filter(peer -> now - peer.at() < PEERS_FORGOTTEN_NANOS);
+  }
+
+  void peerHas(String peer, Optional<InFlightAt> inFlight, long now) {
+    if (inFlight.isPresent()) {
+      InFlightAt load = inFlight.get();
+      peers.put(peer, new PeerLoad(load.requests(), load.unread(), now));
+    } else {
+      peers.remove(peer);
+    }
   }
 
   boolean rests(long now) {
@@ -65,7 +82,7 @@
   }
 
   /** Returns the prompt tokens of own tries that have no first event yet. */
-  long unreadTokens() {
+  long ownUnreadTokens() {
     return unreadTokens;
   }
 
@@ -100,6 +117,7 @@
       }
       case ERROR -> errorShare += ERROR_WEIGHT * (1 - errorShare);
       case FAILED -> failed(now);
+      case GONE -> restsUntil = now + LIST_LAG_NANOS;
       case FULL, CANCELLED -> {}
     }
   }
@@ -112,5 +130,5 @@
 
   private record Running(int unread) {}
 
-  private record PeerCount(int count, long at) {}
+  private record PeerLoad(int requests, long unread, long at) {}
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/TryEnd.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/TryEnd.java
@@ -5,6 +5,8 @@
   OK,
   /** The backend server had no room and did not run the request. */
   FULL,
+  /** Another backend server, or none of this service, has the address now. */
+  GONE,
   /** The backend server answered with an error of its own. */
   ERROR,
   /** The backend server could not be reached, broke off or went silent. */
--- a/routing/src/test/java/org/endivemux/routing/SchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/SchedulerTest.java
@@ -21,6 +21,7 @@
 import org.endivemux.model.Declaration.Route;
 import org.endivemux.model.DeclarationIndex;
 import org.endivemux.model.FailureDomain;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Kind;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
@@ -153,7 +154,8 @@
   @Example
   void peersRequestsTakeRoomUntilTheyAreForgotten() {
     configure(server(1, Kind.STEADY, 4, "assistant"));
-    scheduler.peerDigest("vm2", Map.of(new BackendServerId("s1"), 4), now);
+    scheduler.peerDigest(
+        "vm2", List.of(new InFlightAt(InFlightAt.tag(new BackendServerId("s1")), 4, 0)), now);
     offer("chat", "a");
     assertThat(scheduler.assign(now)).isEmpty();
     now += 2000 * MILLI;
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Kind;
 import org.endivemux.model.RequestId;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
@@ -83,8 +84,11 @@
   void loadOfOtherEntriesCounts() {
     FleetScheduler scheduler = scheduler();
     scheduler.list(Fleet.oneInEachDomain());
-    Map<org.endivemux.model.BackendServerId, Integer> theirs = new HashMap<>();
-    Fleet.oneInEachDomain().stream().skip(1).forEach(server -> theirs.put(server.id(), 8));
+    List<InFlightAt> theirs =
+        Fleet.oneInEachDomain().stream()
+            .skip(1)
+            .map(server -> new InFlightAt(InFlightAt.tag(server.id()), 8, 0))
+            .toList();
     scheduler.peerDigest("other", theirs, 0);
     IntStream.range(0, 12).forEach(i -> scheduler.offer(Fleet.job(i, 1, PromptShape.none())));
     assertThat(scheduler.bind(0)).hasSize(8);
