--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -27,6 +27,7 @@
    * @param timeLeft how long the caller still waits
    * @param urgency rank at the backend server, 0 is the most urgent
    * @param resumeAfter id of the last event that the caller has
+   * @param copyFrom another server that probably keeps shared parts of the prompt
    */
   @SuppressWarnings("ArrayRecordComponent") // Bodies are handed on, not compared.
   record Call(
@@ -37,6 +38,7 @@
       Duration timeLeft,
       int urgency,
       OptionalLong resumeAfter,
+      Optional<GatewayServer> copyFrom,
       int maxConnections,
       Left left) {}
 
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -178,6 +178,7 @@
             Duration.ofNanos(request.deadline() - sentAt),
             request.urgency(),
             progress.lastEvent(),
+            binding.copyFrom(),
             maxConnections(request.service()),
             left);
     logger.atInfo().log(
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
@@ -41,14 +41,9 @@
     if (job.prompt().tokens() == 0) {
       return total * MILLIS_PER_USED_SLOT;
     }
-    int shared = sharedTokens(job.prompt());
+    int shared = job.prompt().sharedTokens();
     int covered = isHome ? shared : Math.min(shared, load.covered(job.prompt()));
     double again = (shared - covered) * READ_AGAIN_FACTOR;
     return total * MILLIS_PER_BATCHED + (load.unreadTokens(now) + again) / READ_TOKENS_PER_MILLI;
   }
-
-  private static int sharedTokens(PromptShape prompt) {
-    int parts = prompt.parts().size();
-    return prompt.parts().stream().limit(Math.max(0, parts - 1)).mapToInt(PromptPart::tokens).sum();
-  }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -31,6 +31,9 @@
 public final class FleetScheduler {
   private static final int DEFAULT_SLOTS = 8;
 
+  /** Copying fewer tokens from another engine takes longer than reading them. */
+  private static final int LEAST_COPIED_TOKENS = 384;
+
   /** Long prompts and other requests mix only when waiting apart would cost more than this. */
   private static final double OTHER_GROUP_MILLIS = 250;
 
@@ -41,8 +44,13 @@
   private final Map<RequestId, ServerLoad> running = new HashMap<>();
   private LongPromptServers longPromptServers = new LongPromptServers(List.of());
 
-  /** Holds the server that a job is bound to. Immutable and thread-safe. */
-  public record Binding(FleetJob job, GatewayServer server) {}
+  /**
+   * Holds the server that a job is bound to. Immutable and thread-safe.
+   *
+   * @param copyFrom another server that probably keeps shared parts of the prompt that this one
+   *     lacks
+   */
+  public record Binding(FleetJob job, GatewayServer server, Optional<GatewayServer> copyFrom) {}
 
   public FleetScheduler(FailureDomain domain) {
     this.cost = new FleetCost(domain);
@@ -102,9 +110,10 @@
       hasRoom = chosen.isPresent();
       if (hasRoom) {
         jobs.remove();
+        Optional<GatewayServer> copyFrom = copyFrom(job, chosen.get());
         chosen.get().started(job);
         running.put(job.id(), chosen.get());
-        bound.add(new Binding(job, chosen.get().server()));
+        bound.add(new Binding(job, chosen.get().server(), copyFrom));
       }
     }
   }
@@ -117,9 +126,10 @@
             .toList();
     List<ServerLoad> fit = open.stream().filter(load -> !load.rests(now)).toList();
     List<ServerLoad> candidates = fit.isEmpty() ? open : fit;
-    List<ServerLoad> own = candidates.stream().filter(load -> isOfOwnGroup(job, load)).toList();
     Optional<ServerLoad> home =
-        job.prompt().sessionPart().flatMap(part -> HomeServers.homeOf(part, own));
+        job.prompt()
+            .sessionPart()
+            .flatMap(part -> HomeServers.homeOf(part, ownGroup(job, candidates)));
     return candidates.stream()
         .min(
             Comparator.comparingDouble(
@@ -128,6 +138,25 @@
                         + (isOfOwnGroup(job, load) ? 0 : OTHER_GROUP_MILLIS)));
   }
 
+  /** Returns the server that keeps most of a job's shared parts, if the chosen one lacks some. */
+  private Optional<GatewayServer> copyFrom(FleetJob job, ServerLoad chosen) {
+    int covered = chosen.covered(job.prompt());
+    Optional<PromptPart> session = job.prompt().sessionPart();
+    if (session.isEmpty() || job.prompt().sharedTokens() - covered < LEAST_COPIED_TOKENS) {
+      return Optional.empty();
+    }
+    List<ServerLoad> others = of(job.service()).filter(load -> !load.equals(chosen)).toList();
+    Optional<ServerLoad> best =
+        others.stream().max(Comparator.comparingInt(load -> load.covered(job.prompt())));
+    return best.filter(load -> load.covered(job.prompt()) > covered)
+        .or(() -> HomeServers.homeOf(session.get(), ownGroup(job, others)))
+        .map(ServerLoad::server);
+  }
+
+  private List<ServerLoad> ownGroup(FleetJob job, List<ServerLoad> loads) {
+    return loads.stream().filter(load -> isOfOwnGroup(job, load)).toList();
+  }
+
   private boolean isOfOwnGroup(FleetJob job, ServerLoad load) {
     return longPromptServers.contains(load.server()) == job.longPrompts();
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/PromptShape.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PromptShape.java
@@ -22,6 +22,11 @@
     return new PromptShape("", 0, 0, List.of());
   }
 
+  /** Returns the tokens of the parts that other requests may share. */
+  public int sharedTokens() {
+    return parts.stream().limit(Math.max(0, parts.size() - 1)).mapToInt(PromptPart::tokens).sum();
+  }
+
   /** Returns the last part that other requests may share; the very last is the request's own. */
   public Optional<PromptPart> sessionPart() {
     return parts.size() < 2 ? Optional.empty() : Optional.of(parts.get(parts.size() - 2));
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -80,6 +80,19 @@
     assertThat(homes.values().stream().distinct().count()).isGreaterThan(2);
   }
 
+  @Example
+  void sharedPartsAreCopiedFromTheServerThatHasThem() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.list(Fleet.oneInEachDomain());
+    Binding first = bindOne(scheduler, Fleet.job(1, 0, Fleet.prompt("s")), 0);
+    scheduler.ended(first.job().id(), TryEnd.FAILED, 0);
+    Binding second = bindOne(scheduler, Fleet.job(2, 0, Fleet.prompt("s")), Fleet.MILLI);
+    Binding third = bindOne(scheduler, Fleet.job(3, 0, Fleet.prompt("s")), Fleet.MILLI);
+    assertThat(second.copyFrom()).contains(first.server());
+    assertThat(third.server()).isEqualTo(second.server());
+    assertThat(third.copyFrom()).isEmpty();
+  }
+
   @Example
   void loadOfOtherEntriesCounts() {
     FleetScheduler scheduler = scheduler();
