Read the list of servers directly while no leader hands it on

Cause: an entry that hears no leader kept an old list; a server that leaves meanwhile would get new work for as long as the voters have no leader.

Ruled out: every entry reading for itself all the time (63 entries with two pages a second exceed the platform's 40 calls).

Change: after 2.5 s without news of a leader an entry reads the list itself, more rarely with more entries. The retry allowance starts from any clock value.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.endivemux.control.client.ControlGroup;
@@ -77,7 +78,7 @@
         .orElseGet(() -> network.caller(vm));
   }
 
-  private PeerLink hintLink(java.net.InetSocketAddress address) {
+  private PeerLink hintLink(InetSocketAddress address) {
     return new PeerLink(address, hello, PeerSecurity.none(), LinkTiming.relaxed(), linkMetrics)
         .start();
   }
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -5,12 +5,14 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.endivemux.control.client.ControlGroup;
 import org.endivemux.control.client.GatewayLedger;
 import org.endivemux.control.client.UsageLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.control.voter.Clocks;
+import org.endivemux.gateway.DirectListing;
 import org.endivemux.gateway.Gateway;
 import org.endivemux.gateway.GatewayCounters;
 import org.endivemux.gateway.Relay;
@@ -18,9 +20,11 @@
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.Incarnation;
+import org.endivemux.model.VmId;
 import org.endivemux.platform.CallerFace;
 import org.endivemux.platform.DirectoryFace;
 import org.endivemux.platform.HttpBackends;
+import org.endivemux.platform.PlatformApi;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.wire.PeerLink;
@@ -54,6 +58,7 @@
   private final DirectoryFace directory;
   private final DigestExchange digests;
   private final ServerPool pool;
+  private final DirectListing listing;
   private final LoopResources loop;
   private volatile boolean leaving;
   private volatile boolean closed;
@@ -62,7 +67,7 @@
       GatewaySettings settings,
       Incarnation incarnation,
       ControlGroup control,
-      java.util.function.Function<InetSocketAddress, PeerLink> hintLink,
+      Function<InetSocketAddress, PeerLink> hintLink,
       Clocks clocks,
       LoopResources loop,
       Supplier<String> metricsText,
@@ -93,6 +98,12 @@
     this.callers = new CallerFace(gateway, counters, () -> leaving, () -> closed);
     this.directory =
         new DirectoryFace(this::addresses, settings.entriesLifetime(), this::isReady, metricsText);
+    PlatformApi platform =
+        new PlatformApi(
+            new VmId(settings.vm()), settings.platformAddress().orElseThrow(), () -> false, loop);
+    this.listing =
+        new DirectListing(
+            ledger, platform::servers, () -> follower.entries().size(), clocks::nanos);
     this.digests = new DigestExchange(settings.peerId(), follower::entries, pool, hintLink);
   }
 
@@ -136,6 +147,7 @@
         .ifPresent(address -> directory.start(GatewaySettings.address(address), loop));
     follower.start();
     digests.start();
+    listing.start();
   }
 
   /** Leaves, drains and completes when no request is in flight or the time is up. */
--- /dev/null
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -0,0 +1,62 @@
+package org.endivemux.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import org.endivemux.control.client.GatewayLedger;
+import org.endivemux.control.voter.Clocks;
+import reactor.core.publisher.Mono;
+
+/** Shows when an entry reads the platform's list itself. */
+final class DirectListingTest {
+  private static final long LIMIT_PER_SECOND = 40;
+
+  private final AtomicLong nanos = new AtomicLong(Duration.ofHours(1).toNanos());
+  private final AtomicInteger reads = new AtomicInteger();
+  private final GatewayLedger ledger =
+      new GatewayLedger(new Clocks(nanos::get, () -> 0), 5000, List::of);
+
+  private DirectListing listing(int entries) {
+    return new DirectListing(
+        ledger,
+        () -> {
+          reads.incrementAndGet();
+          return Mono.just(List.of());
+        },
+        () -> entries,
+        nanos::get);
+  }
+
+  private void rounds(DirectListing listing, Duration time) {
+    IntStream.range(0, (int) (time.toMillis() / 500))
+        .forEach(
+            i -> {
+              nanos.addAndGet(Duration.ofMillis(500).toNanos());
+              listing.round();
+            });
+  }
+
+  @Example
+  void nothingIsReadWhileALeaderIsHeard() {
+    rounds(listing(6), Duration.ofSeconds(2));
+    assertThat(reads).hasValue(0);
+  }
+
+  @Example
+  void listIsReadWithinTheTimeInWhichAServerMayLeave() {
+    rounds(listing(6), Duration.ofSeconds(3));
+    assertThat(reads).hasValue(1);
+  }
+
+  @Example
+  void manyEntriesTogetherStayBelowThePlatformsLimit() {
+    int entries = 63;
+    rounds(listing(entries), Duration.ofSeconds(60));
+    assertThat((double) reads.get() * entries / 60).isLessThan(LIMIT_PER_SECOND / 2.0);
+  }
+}
--- a/routing/src/main/java/org/endivemux/routing/fleet/RetryAllowance.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/RetryAllowance.java
@@ -19,7 +19,7 @@
   private final double slack;
   private final long[] requests;
   private final long[] repeats;
-  private long second;
+  private long second = Long.MIN_VALUE / 2;
 
   /**
    * @param windowSeconds length of the sliding window
