Split the relay: retry rule, shared retries and failures stand apart

Change: RetryRule decides whether a try may follow, SharedRetries keeps the entry's part of the budget, TryFailure names how a try fails.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -15,8 +15,8 @@
 import org.endivemux.gateway.DirectListing;
 import org.endivemux.gateway.Gateway;
 import org.endivemux.gateway.GatewayCounters;
-import org.endivemux.gateway.Relay;
 import org.endivemux.gateway.ServerPool;
+import org.endivemux.gateway.SharedRetries;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.Incarnation;
@@ -88,11 +88,14 @@
             new HttpBackends(loop),
             ledger,
             counters,
-            () -> Math.max(1, follower.entries().size()),
-            new Relay.RetryLimits(
-                settings.retryRatio(),
-                (int) Math.ceil(settings.retryWindowSeconds()),
-                settings.retrySlack()),
+            this::entryCount,
+            new SharedRetries(
+                new SharedRetries.Limits(
+                    settings.retryRatio(),
+                    (int) Math.ceil(settings.retryWindowSeconds()),
+                    settings.retrySlack()),
+                this::entryCount,
+                clocks::nanos),
             clocks::nanos,
             timers);
     this.callers = new CallerFace(gateway, counters, () -> leaving, () -> closed);
@@ -101,12 +104,14 @@
     PlatformApi platform =
         new PlatformApi(
             new VmId(settings.vm()), settings.platformAddress().orElseThrow(), () -> false, loop);
-    this.listing =
-        new DirectListing(
-            ledger, platform::servers, () -> follower.entries().size(), clocks::nanos);
+    this.listing = new DirectListing(ledger, platform::servers, this::entryCount, clocks::nanos);
     this.digests = new DigestExchange(settings.peerId(), follower::entries, pool, hintLink);
   }
 
+  private int entryCount() {
+    return Math.max(1, follower.entries().size());
+  }
+
   private boolean isReady() {
     return gateway.isConfigured() && !leaving;
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -50,7 +50,7 @@
       GatewayLedger ledger,
       GatewayCounters counters,
       IntSupplier entries,
-      Relay.RetryLimits retryLimits,
+      SharedRetries retries,
       LongSupplier nanos,
       Scheduler timers) {
     this.follower = follower;
@@ -58,8 +58,7 @@
     this.counters = counters;
     this.nanos = nanos;
     this.relay =
-        new Relay(
-            pool, backends, ledger, counters, () -> table, entries, retryLimits, nanos, timers);
+        new Relay(pool, backends, ledger, counters, () -> table, entries, retries, nanos, timers);
     follower.onChange(this::viewChanged);
     ledger.onServers(() -> pool.list(ledger.servers()));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -5,8 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
@@ -27,7 +25,6 @@
 import org.endivemux.model.gateway.ServiceSpec;
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
-import org.endivemux.routing.fleet.RetryAllowance;
 import org.endivemux.routing.fleet.TryEnd;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -40,7 +37,7 @@
  * certainly not run; a refusal that says "not run" is given only then; a resumed stream goes on
  * after the last event that the caller has. Thread-safe.
  */
-public final class Relay {
+final class Relay {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int MAX_SENDS = 4;
@@ -68,15 +65,11 @@
   private final GatewayCounters counters;
   private final Supplier<RouteTable> table;
   private final IntSupplier entries;
-  private final RetryLimits retryLimits;
+  private final SharedRetries retries;
   private final LongSupplier nanos;
   private final Scheduler timers;
-  private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
   private final AtomicLong tries = new AtomicLong();
 
-  /** Holds the limit of repeats over all entries. Immutable and thread-safe. */
-  public record RetryLimits(double ratio, int windowSeconds, double slack) {}
-
   Relay(
       ServerPool pool,
       BackendPort backends,
@@ -84,7 +77,7 @@
       GatewayCounters counters,
       Supplier<RouteTable> table,
       IntSupplier entries,
-      RetryLimits retryLimits,
+      SharedRetries retries,
       LongSupplier nanos,
       Scheduler timers) {
     this.pool = pool;
@@ -93,7 +86,7 @@
     this.counters = counters;
     this.table = table;
     this.entries = entries;
-    this.retryLimits = retryLimits;
+    this.retries = retries;
     this.nanos = nanos;
     this.timers = timers;
   }
@@ -101,7 +94,7 @@
   /** Runs a request to its end; fails with {@link GatewayRefusal}. */
   Flux<AnswerPart> run(Admitted request, byte[] body) {
     Progress progress = new Progress(request.head().resumeAfter());
-    allowance(request.service(), RetryAllowance::requested);
+    retries.requested(request.service());
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
     return attempt(request, body, progress)
         .takeUntilOther(
@@ -109,30 +102,6 @@
         .onErrorResume(error -> giveUp(progress, error));
   }
 
-  private interface AllowanceUse {
-    void use(RetryAllowance allowance, long now);
-  }
-
-  private void allowance(ServiceName service, AllowanceUse use) {
-    synchronized (allowances) {
-      use.use(allowanceOf(service), nanos.getAsLong());
-    }
-  }
-
-  private RetryAllowance allowanceOf(ServiceName service) {
-    return allowances.computeIfAbsent(
-        service,
-        name ->
-            new RetryAllowance(
-                retryLimits.ratio(), retryLimits.windowSeconds(), retryLimits.slack()));
-  }
-
-  private boolean tryRepeat(ServiceName service) {
-    synchronized (allowances) {
-      return allowanceOf(service).tryRepeat(entries.getAsInt(), nanos.getAsLong());
-    }
-  }
-
   private Flux<AnswerPart> attempt(Admitted request, byte[] body, Progress progress) {
     return Flux.defer(
         () -> {
@@ -193,7 +162,7 @@
         .send(call, answer -> read(request, progress, id, sentAt, answer))
         .transform(parts -> limited(request, progress, parts))
         .doOnComplete(() -> pool.release(id, TryEnd.OK))
-        .doOnError(error -> pool.release(id, endOf(error)))
+        .doOnError(error -> pool.release(id, TryFailure.endOf(error)))
         .doOnCancel(() -> pool.release(id, TryEnd.CANCELLED));
   }
 
@@ -218,17 +187,10 @@
         part -> Mono.delay(Duration.ofNanos(gap), timers));
   }
 
-  private static TryEnd endOf(Throwable error) {
-    if (error instanceof NotRunException it) {
-      return it.elsewhere ? TryEnd.GONE : TryEnd.FULL;
-    }
-    return error instanceof ServerErrorException ? TryEnd.ERROR : TryEnd.FAILED;
-  }
-
   private Flux<AnswerPart> read(
       Admitted request, Progress progress, RequestId id, long sentAt, Answer answer) {
     if (answer.notRun()) {
-      return answer.body().thenMany(Flux.error(new NotRunException(answer.elsewhere())));
+      return answer.body().thenMany(Flux.error(new TryFailure.NotRun(answer.elsewhere())));
     }
     if (request.route().kind() == RequestKind.STREAM && answer.status() == OK) {
       StreamReader reader =
@@ -256,7 +218,7 @@
     AnswerPart.Head head = new AnswerPart.Head(answer.status(), headers);
     if (answer.status() >= FIRST_SERVER_ERROR) {
       progress.keep(new Progress.KeptAnswer(head, bytes));
-      return Flux.error(new ServerErrorException());
+      return Flux.error(new TryFailure.ServerError());
     }
     progress.delivered(progress.lastEvent());
     return Flux.just(head, new AnswerPart.Body(bytes));
@@ -276,15 +238,15 @@
     if (error instanceof GatewayRefusal) {
       return Flux.error(error);
     }
-    boolean mayHaveRun = left.may() && !(error instanceof NotRunException);
+    boolean mayHaveRun = RetryRule.mayHaveRun(left, error);
     if (mayHaveRun) {
       progress.mayHaveRun();
     }
     Optional<RetryReason> reason =
-        retryReason(request, progress, mayHaveRun, left, error)
+        RetryRule.reason(request.route(), progress, left, error)
             .filter(allowed -> progress.sends() < MAX_SENDS)
             .filter(allowed -> request.deadline() - nanos.getAsLong() > LEAST_NANOS)
-            .filter(allowed -> !left.may() || tryRepeat(request.service()));
+            .filter(allowed -> !left.may() || retries.tryRepeat(request.service()));
     logger.atInfo().log(
         "event=try_failed request=%s try=%d mayHaveRun=%s retry=%s cause=\"%s\"",
         request.head().id(),
@@ -299,33 +261,6 @@
     return attempt(request, body, progress);
   }
 
-  private static Optional<RetryReason> retryReason(
-      Admitted request, Progress progress, boolean mayHaveRun, Left left, Throwable error) {
-    if (!left.may()) {
-      return Optional.of(RetryReason.CONNECT_FAILED);
-    }
-    if (!mayHaveRun) {
-      return Optional.of(RetryReason.BACKEND_BUSY);
-    }
-    HostRoute route = request.route();
-    boolean repeatable = route.repeatable() && progress.runs() < route.maxServers();
-    if (!repeatable) {
-      return Optional.empty();
-    }
-    if (progress.headDelivered()) {
-      return progress.lastEvent().isPresent()
-          ? Optional.of(RetryReason.STREAM_RESUMED)
-          : Optional.empty();
-    }
-    if (error instanceof ServerErrorException) {
-      return Optional.of(RetryReason.BACKEND_ERROR);
-    }
-    return Optional.of(
-        error instanceof TimeoutException
-            ? RetryReason.SILENT_BEFORE_ANSWER
-            : RetryReason.BROKEN_BEFORE_ANSWER);
-  }
-
   private Flux<AnswerPart> giveUp(Progress progress, Throwable error) {
     if (progress.headDelivered()) {
       return Flux.error(new GatewayRefusal(Reason.ANSWER_BROKEN));
@@ -346,25 +281,4 @@
                 Reason.NOT_TAKEN,
                 ServerPool.retryAfterMillis(new RequestId("r" + tries.incrementAndGet()))));
   }
-
-  /** Signals that a backend server says that it has not run a request. Immutable. */
-  private static final class NotRunException extends RuntimeException {
-    private static final long serialVersionUID = 1;
-
-    private final boolean elsewhere;
-
-    NotRunException(boolean elsewhere) {
-      super("The backend server did not take the request.", null, false, false);
-      this.elsewhere = elsewhere;
-    }
-  }
-
-  /** Signals a backend server's own error answer. Immutable. */
-  private static final class ServerErrorException extends RuntimeException {
-    private static final long serialVersionUID = 1;
-
-    ServerErrorException() {
-      super("The backend server answered with an error.", null, false, false);
-    }
-  }
 }
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/SharedRetries.java
@@ -0,0 +1,54 @@
+package org.endivemux.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.routing.fleet.RetryAllowance;
+
+/**
+ * Keeps this entry's part of the repeats of each service.
+ *
+ * <p>Invariant: see {@link RetryAllowance}. Thread-safe.
+ */
+public final class SharedRetries {
+  private final Limits limits;
+  private final IntSupplier entries;
+  private final LongSupplier nanos;
+  private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
+
+  /**
+   * Holds the limit over all entries. Immutable and thread-safe.
+   *
+   * @param ratio repeats for each request of a service
+   * @param slack repeats beyond that in any window
+   */
+  public record Limits(double ratio, int windowSeconds, double slack) {}
+
+  /**
+   * Makes the allowances of one entry.
+   *
+   * @param entries gives the number of entries that share the limit
+   */
+  public SharedRetries(Limits limits, IntSupplier entries, LongSupplier nanos) {
+    this.limits = limits;
+    this.entries = entries;
+    this.nanos = nanos;
+  }
+
+  synchronized void requested(ServiceName service) {
+    of(service).requested(nanos.getAsLong());
+  }
+
+  /** Takes one repeat; returns false when none is left. */
+  synchronized boolean tryRepeat(ServiceName service) {
+    return of(service).tryRepeat(entries.getAsInt(), nanos.getAsLong());
+  }
+
+  private RetryAllowance of(ServiceName service) {
+    return allowances.computeIfAbsent(
+        service,
+        name -> new RetryAllowance(limits.ratio(), limits.windowSeconds(), limits.slack()));
+  }
+}
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -142,7 +142,7 @@
             new GatewayCounters(new MetricRegistry()),
             () -> new RouteTable(config),
             () -> 1,
-            new Relay.RetryLimits(0.2, 10, 50),
+            new SharedRetries(new SharedRetries.Limits(0.2, 10, 50), () -> 1, System::nanoTime),
             System::nanoTime,
             Schedulers.parallel());
     return relay.run(admitted(route), new byte[0]);
