--- a/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
@@ -61,6 +61,15 @@
   }
 
   static FleetJob job(int number, int urgency, PromptShape prompt) {
+    return job(number, urgency, prompt, false);
+  }
+
+  /** Returns a job of a route that brings long prompts. */
+  static FleetJob longJob(int number, PromptShape prompt) {
+    return job(number, 2, prompt, true);
+  }
+
+  private static FleetJob job(int number, int urgency, PromptShape prompt, boolean longPrompts) {
     return new FleetJob(
         new RequestId("r" + number),
         LLM,
@@ -70,7 +79,7 @@
         number + 500 * MILLI,
         number + 400 * MILLI,
         prompt,
-        false,
+        longPrompts,
         true,
         Set.of());
   }
