--- a/control/src/main/java/org/endivemux/control/voter/PlatformClient.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformClient.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import java.time.Duration;
@@ -17,7 +16,6 @@
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
-import reactor.netty.resources.ConnectionProvider;
 
 /**
  * Sends orders and usage reports to the platform.
@@ -32,7 +30,6 @@
 
   private static final ObjectMapper JSON =
       new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
-  private static final int CONNECT_MILLIS = 500;
   private static final int OK = 200;
   private static final int FIRST_CLIENT_ERROR = 400;
   private static final int FIRST_SERVER_ERROR = 500;
@@ -40,19 +37,7 @@
   private final HttpClient client;
 
   public PlatformClient(String address, BooleanSupplier holdsLease) {
-    this.client =
-        HttpClient.create(ConnectionProvider.newConnection())
-            .baseUrl("http://" + address)
-            .disableRetry(true)
-            .followRedirect(false)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
-            .responseTimeout(LIMIT)
-            .doOnConnected(
-                connection ->
-                    connection
-                        .channel()
-                        .pipeline()
-                        .addFirst("leaseGate", new LeaseGate(holdsLease)));
+    this.client = PlatformHttp.orders(address, LIMIT, holdsLease);
   }
 
   /** Sends an order under a fencing number and returns the platform's word on it. */
--- a/entry/src/main/java/org/endivemux/entry/Exchange.java
+++ b/entry/src/main/java/org/endivemux/entry/Exchange.java
@@ -5,10 +5,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
+import org.endivemux.wire.BoundedBytes;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -59,19 +59,8 @@
     if (announced > limit) {
       return Mono.error(new RefusedException(Reason.BODY_TOO_LARGE));
     }
-    return request
-        .receive()
-        .asByteArray()
-        .reduceWith(ByteArrayOutputStream::new, (out, part) -> append(out, part, limit))
-        .map(ByteArrayOutputStream::toByteArray);
-  }
-
-  private static ByteArrayOutputStream append(ByteArrayOutputStream out, byte[] part, int limit) {
-    if (out.size() + part.length > limit) {
-      throw new RefusedException(Reason.BODY_TOO_LARGE);
-    }
-    out.writeBytes(part);
-    return out;
+    return BoundedBytes.collect(
+        request.receive().asByteArray(), limit, () -> new RefusedException(Reason.BODY_TOO_LARGE));
   }
 
   Mono<Void> json(int status, Object body) {
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
@@ -26,6 +25,7 @@
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.TryEnd;
+import org.endivemux.wire.BoundedBytes;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -198,18 +198,11 @@
       return reader.read(answer.status(), answer.headers(), answer.body());
     }
     firstEvent(request, progress, id, sentAt);
-    return answer
-        .body()
-        .reduceWith(ByteArrayOutputStream::new, Relay::append)
-        .flatMapMany(whole -> whole(progress, answer, whole.toByteArray()));
-  }
-
-  private static ByteArrayOutputStream append(ByteArrayOutputStream out, byte[] part) {
-    if (out.size() + part.length > MAX_ANSWER_BYTES) {
-      throw new IllegalStateException("The answer is longer than the gateway keeps.");
-    }
-    out.writeBytes(part);
-    return out;
+    return BoundedBytes.collect(
+            answer.body(),
+            MAX_ANSWER_BYTES,
+            () -> new IllegalStateException("The answer is longer than the gateway keeps."))
+        .flatMapMany(whole -> whole(progress, answer, whole));
   }
 
   private Flux<AnswerPart> whole(Progress progress, Answer answer, byte[] bytes) {
--- a/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
@@ -60,6 +60,13 @@
         .toList();
   }
 
+  static List<GatewayServer> cheap(int inEachDomain) {
+    int domains = DOMAINS.size();
+    return IntStream.range(0, inEachDomain * domains)
+        .mapToObj(i -> server(i, DOMAINS.get(i % domains), Kind.CHEAP, false))
+        .toList();
+  }
+
   static FleetJob job(int number, int urgency, PromptShape prompt) {
     return job(number, urgency, prompt, false);
   }
