Give each fork of the integration tests its own ports

The logs of both clusters show ports of one range in use by two forks at once (24,028 and 24,838 upwards at the same time): the fork's number was not put into the system property, all forks took the default range, and one cluster could bind what another had just found free.

Ruled out: a change of leader by load (one leader for each cluster in its log).

--- a/integration/src/test/java/org/endivemux/integration/Cluster.java
+++ b/integration/src/test/java/org/endivemux/integration/Cluster.java
@@ -29,9 +29,12 @@
  */
 final class Cluster implements AutoCloseable {
   static final String OPERATOR = "emx_operator";
+
+  /** Number of this fork of the test run; each has a range of ports of its own. */
+  private static final int FORK = Integer.parseInt(System.getProperty("fork.number", "1"));
+
   private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger(
-          20_000 + Integer.getInteger("fork.number", 1) * 3000 + new Random().nextInt(10) * 200);
+      new AtomicInteger(20_000 + FORK * 3000 + new Random().nextInt(10) * 200);
   private static final Random IDS = new Random();
 
   final List<Vm> vms = new ArrayList<>();
