Wait for room on a full disk; votes and missed leaders as checked properties

Change: RecordFile undoes a refused write and tries the same bytes again; RefusedWrites decides how long, AwaitedRoom waits and logs the loss and the return of the disk. The simulation checks that a vote is on the voter's disk before it leaves and can cut one link. Tests: DataFolderTest.fullDiskIsWaitedForAndLosesNothing, ConsensusCoreTest.memberThatOnlyMissesTheLeaderWinsNoVoteOfThoseThatHearIt. Conclusion: nothing that depends on a write leaves while it is refused.

--- a/consensus/src/test/java/org/endivemux/consensus/ClusterSimulation.java
+++ b/consensus/src/test/java/org/endivemux/consensus/ClusterSimulation.java
@@ -15,6 +15,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.endivemux.consensus.ConsensusCore.Status;
+import org.endivemux.consensus.Message.VoteReply;
+import org.endivemux.consensus.Message.VoteRequest;
 import org.endivemux.model.Bytes;
 import org.endivemux.model.DiskId;
 import org.endivemux.model.VmId;
@@ -23,7 +25,8 @@
  * Runs several cores in one virtual time over a network and disks that fail from a seed.
  *
  * <p>After every event it checks that a term has one leader, that no committed entry differs
- * between members, and that at most one member holds a lease. Confined to one thread.
+ * between members, and that at most one member holds a lease; with every message, that a vote is on
+ * the voter's disk before it leaves. Confined to one thread.
  */
 final class ClusterSimulation {
   static final long MILLI = 1_000_000L;
@@ -36,6 +39,7 @@
   private final Map<Long, DiskId> leaders = new HashMap<>();
   private final Map<Long, String> committed = new HashMap<>();
   private final Set<Integer> isolated = new HashSet<>();
+  private final Set<Set<Integer>> cutLinks = new HashSet<>();
   private long now = 1000 * MILLI;
   private long order;
   private int disks;
@@ -104,6 +108,11 @@
     isolated.add(node);
   }
 
+  /** Cuts two members off from each other; both still reach all others. */
+  void cutLink(int one, int other) {
+    cutLinks.add(Set.copyOf(List.of(one, other)));
+  }
+
   void crash(int node) {
     nodes.get(node).crash();
   }
@@ -147,6 +156,7 @@
   void heal() {
     loss = 0;
     isolated.clear();
+    cutLinks.clear();
     nodes.forEach(node -> node.frozen = false);
     nodes.stream().filter(node -> node.core.isEmpty()).forEach(Node::start);
   }
@@ -350,12 +360,35 @@
     long spread = loss > 0 ? random.nextInt(60) : random.nextInt(3);
     int from = Integer.parseInt(envelope.from().value().substring(2));
     int to = Integer.parseInt(envelope.to().value().substring(2));
+    checkVoteIsSynced(nodes.get(from), envelope);
     at(
         (3 + spread) * MILLI,
         () -> {
-          if (!isolated.contains(from) && !isolated.contains(to)) {
+          if (reaches(from, to)) {
             nodes.get(to).deliver(envelope);
           }
         });
   }
+
+  private boolean reaches(int from, int to) {
+    return !isolated.contains(from)
+        && !isolated.contains(to)
+        && !cutLinks.contains(Set.copyOf(List.of(from, to)));
+  }
+
+  /** A vote that is forgotten with a loss of power could be cast twice in one term. */
+  private static void checkVoteIsSynced(Node voter, Envelope envelope) {
+    boolean granted =
+        envelope.message() instanceof VoteReply reply
+            && reply.granted()
+            && !reply.pre()
+            && !voter.disk.holdsVote(reply.term(), envelope.toDisk().orElseThrow());
+    boolean stands =
+        envelope.message() instanceof VoteRequest request
+            && !request.pre()
+            && !voter.disk.holdsVote(request.term(), voter.disk.id);
+    if (granted || stands) {
+      throw new AssertionError("A vote left before it was synced: " + envelope);
+    }
+  }
 }
--- a/consensus/src/test/java/org/endivemux/consensus/ConsensusCoreTest.java
+++ b/consensus/src/test/java/org/endivemux/consensus/ConsensusCoreTest.java
@@ -64,6 +64,17 @@
     assertThat(cluster.leader().orElseThrow().number).isNotEqualTo(old);
   }
 
+  @Example
+  void memberThatOnlyMissesTheLeaderWinsNoVoteOfThoseThatHearIt() {
+    ClusterSimulation cluster = formed(3, 9);
+    int leader = cluster.leader().orElseThrow().number;
+    long term = cluster.leader().orElseThrow().status().term();
+    cluster.cutLink(leader, (leader + 1) % 3);
+    cluster.runFor(60 * SECOND);
+    assertThat(cluster.leader().orElseThrow().number).isEqualTo(leader);
+    assertThat(cluster.leader().orElseThrow().status().term()).isEqualTo(term);
+  }
+
   @Property(tries = 60, seed = "20261204")
   void safetyHoldsUnderRandomFaultsAndALeaderReturns(
       @ForAll @IntRange(min = 0, max = 1) int large, @ForAll long seed) {
@@ -81,7 +92,7 @@
 
   private static void faultyRound(ClusterSimulation cluster, Random random, int size, int round) {
     int node = random.nextInt(size);
-    switch (random.nextInt(11)) {
+    switch (random.nextInt(12)) {
       case 0 -> cluster.crash(node);
       case 1 -> cluster.restart(node);
       case 2 -> cluster.isolate(node);
@@ -90,6 +101,7 @@
       case 5 -> cluster.loseDisk(node);
       case 6 -> cluster.compact(node);
       case 7, 8 -> powerCut(cluster, random, size, round);
+      case 9 -> cluster.cutLink(node, (node + 1) % size);
       default -> cluster.heal();
     }
     cluster.propose("r" + round);
--- a/consensus/src/test/java/org/endivemux/consensus/SimulatedDisk.java
+++ b/consensus/src/test/java/org/endivemux/consensus/SimulatedDisk.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.endivemux.consensus.Effects.Persist;
 import org.endivemux.model.DiskId;
 
@@ -35,6 +36,12 @@
     snapshot = newer;
   }
 
+  /** Returns whether a vote in a term is synced, or that term is over by a synced later one. */
+  boolean holdsVote(long term, DiskId candidate) {
+    boolean voted = hardState.term() == term && hardState.vote().equals(Optional.of(candidate));
+    return voted || hardState.term() > term;
+  }
+
   Recovered recover() {
     return new Recovered(id, hardState, snapshot, entries);
   }
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -16,6 +16,7 @@
 import org.endivemux.control.client.UsageLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.control.message.ControlReply;
+import org.endivemux.control.voter.AwaitedRoom;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.control.voter.ControlService;
 import org.endivemux.control.voter.EntryRegistry;
@@ -88,7 +89,11 @@
             .collect(
                 Collectors.toMap(
                     Map.Entry::getKey, voter -> link(voter.getValue(), LinkTiming.standard())));
-    this.voter = settings.dataFolder().map(DataFolder::open).map(this::voter);
+    this.voter =
+        settings
+            .dataFolder()
+            .map(folder -> DataFolder.open(folder, new AwaitedRoom(metrics)))
+            .map(this::voter);
     EntryRegistry registry = new EntryRegistry();
     UsageInbox inbox = new UsageInbox();
     this.service =
--- a/storage/src/main/java/org/endivemux/storage/DataFolder.java
+++ b/storage/src/main/java/org/endivemux/storage/DataFolder.java
@@ -35,23 +35,33 @@
 
   private final Path folder;
   private final FileChannel lockFile;
+  private final Writes writes;
   private final DiskId disk;
   private final List<LogEntry> entries = new ArrayList<>();
   private HardState hardState = HardState.initial();
   private Snapshot snapshot;
   private RecordFile log;
 
-  private DataFolder(Path folder, FileChannel lockFile) {
+  private DataFolder(Path folder, FileChannel lockFile, Writes writes) {
     this.folder = folder;
     this.lockFile = lockFile;
+    this.writes = writes;
     this.disk = readOrMakeDiskId();
     this.snapshot = readSnapshot();
-    this.log = RecordFile.open(folder.resolve(LOG));
+    this.log = RecordFile.open(folder.resolve(LOG), writes);
     readLog();
   }
 
-  /** Opens or makes the folder; throws {@link StorageException} when it can not be used. */
-  public static DataFolder open(Path folder) {
+  /**
+   * Opens or makes the folder; throws {@link StorageException} when it can not be used.
+   *
+   * @param refusals decides what follows a write that the disk refuses
+   */
+  public static DataFolder open(Path folder, RefusedWrites refusals) {
+    return open(folder, new Writes(FileChannel::write, refusals));
+  }
+
+  static DataFolder open(Path folder, Writes writes) {
     try {
       Files.createDirectories(folder);
       FileChannel lockFile =
@@ -62,7 +72,7 @@
         throw new StorageException(
             "The data folder " + folder + " is in use; stop the other process first.");
       }
-      return new DataFolder(folder, lockFile);
+      return new DataFolder(folder, lockFile, writes);
     } catch (IOException e) {
       throw new StorageException("The data folder " + folder + " can not be opened.", e);
     }
@@ -85,7 +95,7 @@
     if (!Files.exists(file)) {
       return Recovered.blank(disk).snapshot();
     }
-    try (RecordFile records = RecordFile.open(file)) {
+    try (RecordFile records = RecordFile.open(file, writes)) {
       List<byte[]> found = records.readAll();
       if (found.size() != 1) {
         throw new StorageException("The snapshot " + file + " is damaged; treat the disk as lost.");
@@ -175,7 +185,7 @@
         new LogRecord(snapshot.index(), snapshot.term(), Optional.of(hardState), entries);
     log.close();
     replaceByRecord(folder.resolve(LOG), MessagePackCodec.encode(List.of(base)));
-    log = RecordFile.open(folder.resolve(LOG));
+    log = RecordFile.open(folder.resolve(LOG), writes);
     log.readAll();
   }
 
@@ -183,7 +193,7 @@
     Path fresh = target.resolveSibling(target.getFileName() + ".new");
     try {
       Files.deleteIfExists(fresh);
-      try (RecordFile file = RecordFile.open(fresh)) {
+      try (RecordFile file = RecordFile.open(fresh, writes)) {
         file.append(record);
       }
       moveAndSync(fresh, target);
@@ -194,7 +204,7 @@
 
   private void replace(Path target, byte[] content) throws IOException {
     Path fresh = target.resolveSibling(target.getFileName() + ".new");
-    Files.write(fresh, content);
+    writes.untilTaken(fresh, () -> Files.write(fresh, content), () -> Files.deleteIfExists(fresh));
     try (FileChannel channel = FileChannel.open(fresh, StandardOpenOption.WRITE)) {
       channel.force(true);
     }
--- a/storage/src/main/java/org/endivemux/storage/RecordFile.java
+++ b/storage/src/main/java/org/endivemux/storage/RecordFile.java
@@ -16,26 +16,29 @@
  * reads them back.
  *
  * <p>Each record is a length, a checksum of the length, a checksum of the payload, and the payload.
- * Invariants: {@link #append} returns only after a sync; a torn last record is cut when the file is
- * read; damage before it is an error. Confined to one thread.
+ * Invariants: {@link #append} returns only after a sync, and leaves nothing of a refused write; a
+ * torn last record is cut when the file is read; damage before it is an error. Confined to one
+ * thread.
  */
 final class RecordFile implements AutoCloseable {
   private static final int HEADER_BYTES = 3 * Integer.BYTES;
 
   private final Path path;
   private final FileChannel channel;
+  private final Writes writes;
 
-  private RecordFile(Path path, FileChannel channel) {
+  private RecordFile(Path path, FileChannel channel, Writes writes) {
     this.path = path;
     this.channel = channel;
+    this.writes = writes;
   }
 
-  static RecordFile open(Path path) {
+  static RecordFile open(Path path, Writes writes) {
     try {
       FileChannel channel =
           FileChannel.open(
               path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-      return new RecordFile(path, channel);
+      return new RecordFile(path, channel, writes);
     } catch (IOException e) {
       throw new StorageException("The file " + path + " can not be opened.", e);
     }
@@ -125,7 +128,7 @@
     return buffer.flip();
   }
 
-  /** Appends one record and syncs it. */
+  /** Appends one record and syncs it; waits while the disk refuses the write. */
   void append(byte[] payload) {
     ByteBuffer buffer = ByteBuffer.allocate(HEADER_BYTES + payload.length);
     buffer.putInt(payload.length);
@@ -134,9 +137,7 @@
     buffer.put(payload);
     buffer.flip();
     try {
-      while (buffer.hasRemaining()) {
-        channel.write(buffer);
-      }
+      writes.write(path, channel, channel.position(), buffer);
       channel.force(false);
     } catch (IOException e) {
       throw new StorageException("The file " + path + " can not be synced.", e);
--- a/storage/src/test/java/org/endivemux/storage/DataFolderTest.java
+++ b/storage/src/test/java/org/endivemux/storage/DataFolderTest.java
@@ -5,6 +5,8 @@
 
 import java.io.IOException;
 import java.io.RandomAccessFile;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -74,28 +76,74 @@
       file.seek(whole - 3);
       file.write(0x55);
     }
-    assertThatThrownBy(() -> DataFolder.open(folder))
+    assertThatThrownBy(() -> DataFolder.open(folder, RefusedWrites.fatal()))
         .isInstanceOf(StorageException.class)
         .hasMessageContaining("treat the disk as lost");
   }
 
   @Example
   void secondProcessIsRefused() {
-    try (DataFolder held = DataFolder.open(folder)) {
+    try (DataFolder held = DataFolder.open(folder, RefusedWrites.fatal())) {
       assertThat(held.recovered().entries()).isEmpty();
-      assertThatThrownBy(() -> DataFolder.open(folder)).isInstanceOf(Exception.class);
+      assertThatThrownBy(() -> DataFolder.open(folder, RefusedWrites.fatal()))
+          .isInstanceOf(Exception.class);
+    }
+  }
+
+  @Example
+  void fullDiskIsWaitedForAndLosesNothing() {
+    FullDisk disk = new FullDisk();
+    Snapshot snapshot = new Snapshot(2, 2, new Membership(List.of()), Bytes.ofUtf8("state"));
+    try (DataFolder data = DataFolder.open(folder, new Writes(disk::write, disk))) {
+      data.write(List.of(entries(1, 2)));
+      disk.room = 7;
+      data.write(List.of(entries(3, 4)));
+      disk.room = 0;
+      data.write(List.of(new Persist(Optional.empty(), Optional.of(snapshot), List.of())));
+    }
+    assertThat(disk.refusals).isEqualTo(2);
+    assertThat(disk.taken).isEqualTo(2);
+    assertThat(reopen().snapshot()).isEqualTo(snapshot);
+    assertThat(reopen().entries()).extracting(LogEntry::index).containsExactly(3L, 4L);
+  }
+
+  /** Takes so many bytes, then refuses until it was told so once. */
+  private static final class FullDisk implements RefusedWrites {
+    private int room = Integer.MAX_VALUE;
+    private int refusals;
+    private int taken;
+
+    void write(FileChannel channel, ByteBuffer bytes) throws IOException {
+      if (room == 0) {
+        throw new IOException("No space left on device");
+      }
+      int count = Math.min(room, bytes.remaining());
+      channel.write(bytes.slice(bytes.position(), count));
+      bytes.position(bytes.position() + count);
+      room -= count;
+    }
+
+    @Override
+    public void refused(Path file, int tries, IOException cause) {
+      refusals++;
+      room = Integer.MAX_VALUE;
+    }
+
+    @Override
+    public void taken(Path file, int tries) {
+      taken++;
     }
   }
 
   private DiskId write(Persist... steps) {
-    try (DataFolder data = DataFolder.open(folder)) {
+    try (DataFolder data = DataFolder.open(folder, RefusedWrites.fatal())) {
       data.write(List.of(steps));
       return data.recovered().disk();
     }
   }
 
   private Recovered reopen() {
-    try (DataFolder data = DataFolder.open(folder)) {
+    try (DataFolder data = DataFolder.open(folder, RefusedWrites.fatal())) {
       return data.recovered();
     }
   }
