--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import org.endivemux.control.client.GatewayLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.model.Keys;
-import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
 import org.endivemux.model.gateway.ClientLimits;
 import org.endivemux.model.gateway.GatewayConfig;
@@ -28,9 +27,6 @@
  * not run. Thread-safe.
  */
 public final class Gateway {
-  /** Stands for callers of routes that are open to all. */
-  static final OrganisationId NOBODY = new OrganisationId("nobody");
-
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int MAX_KEY_LENGTH = 256;
--- a/gateway/src/main/java/org/endivemux/gateway/Progress.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Progress.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.endivemux.gateway.BackendPort.Left;
 import org.endivemux.model.BackendServerId;
 
 /**
@@ -15,6 +16,7 @@
   private final Set<BackendServerId> used = new HashSet<>();
   private int sends;
   private int runs;
+  private Left current = new Left();
   private boolean headDelivered;
   private boolean counted;
   private OptionalLong lastEvent;
@@ -28,15 +30,26 @@
     this.lastEvent = lastEvent;
   }
 
-  void sent(BackendServerId server) {
+  /** Notes a try; {@code left} tells whether it may have reached its server. */
+  void sent(BackendServerId server, Left left) {
     sends++;
     used.add(server);
+    current = left;
   }
 
   void mayHaveRun() {
     runs++;
   }
 
+  void didNotRun() {
+    current = new Left();
+  }
+
+  /** Returns whether any try, the present one included, may have run or still runs. */
+  boolean isMaybeRun() {
+    return runs > 0 || current.may();
+  }
+
   void keep(KeptAnswer answer) {
     kept = Optional.of(answer);
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -122,21 +122,18 @@
     return new FleetJob(
         new RequestId("try-" + tries.incrementAndGet()),
         request.service(),
-        request.organisation().orElse(Gateway.NOBODY),
         request.urgency(),
         request.arrivedAt(),
-        request.arrivedAt() + target,
         progress.headDelivered() ? request.deadline() - LEAST_NANOS : giveUpAt,
         request.head().prompt(),
         request.longPrompts(),
-        route.repeatable(),
         progress.used());
   }
 
   private Flux<AnswerPart> once(
       Admitted request, byte[] body, Progress progress, Binding binding, Left left) {
     RequestId id = binding.job().id();
-    progress.sent(binding.server().id());
+    progress.sent(binding.server().id(), left);
     long sentAt = nanos.getAsLong();
     Call call =
         new Call(
@@ -234,6 +231,8 @@
     boolean mayHaveRun = RetryRule.mayHaveRun(left, error);
     if (mayHaveRun) {
       progress.mayHaveRun();
+    } else {
+      progress.didNotRun();
     }
     Optional<RetryReason> reason =
         RetryRule.reason(request.route(), progress, left, error)
@@ -263,7 +262,7 @@
       return Flux.just(kept.head(), new AnswerPart.Body(kept.body()));
     }
     boolean timedOut = error instanceof TimeoutException;
-    if (progress.runs() > 0 || (timedOut && progress.sends() > 0)) {
+    if (progress.isMaybeRun()) {
       return Flux.error(
           new GatewayRefusal(timedOut ? Reason.BACKEND_TIMEOUT : Reason.BACKEND_FAILED));
     }
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -122,6 +122,10 @@
   }
 
   private static Flux<AnswerPart> run(Script script, HostRoute route) {
+    return run(script, route, LIMIT);
+  }
+
+  private static Flux<AnswerPart> run(Script script, HostRoute route, Duration limit) {
     GatewayConfig config =
         new GatewayConfig(
             1,
@@ -145,10 +149,10 @@
             new SharedRetries(new SharedRetries.Limits(0.2, 10, 50), () -> 1, System::nanoTime),
             System::nanoTime,
             Schedulers.parallel());
-    return relay.run(admitted(route), new byte[0]);
+    return relay.run(admitted(route, limit), new byte[0]);
   }
 
-  private static Admitted admitted(HostRoute route) {
+  private static Admitted admitted(HostRoute route, Duration limit) {
     RequestHead head =
         new RequestHead(
             "id",
@@ -169,7 +173,7 @@
         1,
         false,
         now,
-        now + LIMIT.toNanos());
+        now + limit.toNanos());
   }
 
   private static String text(Flux<AnswerPart> parts) {
@@ -224,6 +228,35 @@
         .isIn(Reason.NOT_TAKEN, Reason.TOO_LATE);
   }
 
+  @Example
+  void saleWhoseConnectionNeverOpenedIsRefusedAsNotRun() {
+    Script script = new Script().then(call -> Flux.never());
+    HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    assertThat(refusal(run(script, route, Duration.ofMillis(300)))).isEqualTo(Reason.NOT_TAKEN);
+  }
+
+  @Example
+  void saleThatIsUnansweredAtItsLimitMayHaveRun() {
+    Script script =
+        new Script()
+            .then(
+                call -> {
+                  call.left().mark();
+                  return Flux.never();
+                });
+    HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    assertThat(refusal(run(script, route, Duration.ofMillis(300))))
+        .isEqualTo(Reason.BACKEND_TIMEOUT);
+  }
+
+  @Example
+  void requestThatNoServerIsFreeForIsToldToComeBack() {
+    HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    Script script = new Script();
+    IntStream.range(0, 3).forEach(i -> script.then(answers(503, true, "full")));
+    assertThat(refusal(run(script, route, LIMIT))).isEqualTo(Reason.TOO_LATE);
+  }
+
   @Example
   void errorOfTheLastServerIsPassedOnAsItIs() {
     Script script =
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
@@ -2,7 +2,6 @@
 
 import java.util.Set;
 import org.endivemux.model.BackendServerId;
-import org.endivemux.model.OrganisationId;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.ServiceName;
 
@@ -12,7 +11,6 @@
  * <p>Immutable and thread-safe; times are monotonic nanoseconds.
  *
  * @param urgency rank, 0 is the most urgent
- * @param answerBy when an answer, or its first event, is no longer on time
  * @param giveUpAt when the caller is told to come back unless a backend server was found
  * @param longPrompts whether the job's route brings long prompts
  * @param avoid backend servers that earlier tries of the request have used
@@ -20,14 +18,11 @@
 public record FleetJob(
     RequestId id,
     ServiceName service,
-    OrganisationId organisation,
     int urgency,
     long arrivedAt,
-    long answerBy,
     long giveUpAt,
     PromptShape prompt,
     boolean longPrompts,
-    boolean repeatable,
     Set<BackendServerId> avoid) {
   public FleetJob {
     avoid = Set.copyOf(avoid);
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -185,17 +185,6 @@
     return Optional.ofNullable(waiting.get(job.service())).filter(q -> q.remove(job)).isPresent();
   }
 
-  /** Removes and returns the jobs that no server was found for in time. */
-  public List<FleetJob> expire(long now) {
-    List<FleetJob> expired =
-        waiting.values().stream()
-            .flatMap(TreeSet::stream)
-            .filter(job -> now - job.giveUpAt() >= 0)
-            .toList();
-    expired.forEach(this::withdraw);
-    return expired;
-  }
-
   /** Takes over what another entry has in flight. */
   public void peerDigest(String peer, List<InFlightAt> inFlight, long now) {
     Map<Integer, InFlightAt> byTag =
@@ -226,9 +215,4 @@
         .map(entry -> new ServiceLoad(entry.getKey(), entry.getValue()))
         .toList();
   }
-
-  /** Returns the number of waiting jobs. */
-  public int waiting() {
-    return waiting.values().stream().mapToInt(TreeSet::size).sum();
-  }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayServer;
@@ -31,6 +30,7 @@
 
   private final Map<RequestId, Running> running = new LinkedHashMap<>();
   private final Map<String, PeerLoad> peers = new HashMap<>();
+  private PeerLoad peerSum = PeerLoad.NONE;
   private final PrefixMemory prefixes;
   private GatewayServer server;
   private long unreadTokens;
@@ -56,16 +56,33 @@
   }
 
   int total(long now) {
-    return own() + fresh(now).mapToInt(PeerLoad::requests).sum();
+    return own() + peerSum(now).requests();
   }
 
   /** Returns the prompt tokens that tries of all entries have still to be read. */
   long unreadTokens(long now) {
-    return unreadTokens + fresh(now).mapToLong(PeerLoad::unread).sum();
+    return unreadTokens + peerSum(now).unread();
   }
 
-  private Stream<PeerLoad> fresh(long now) {
-    return peers.values().stream().filter(peer -> now - peer.at() < PEERS_FORGOTTEN_NANOS);
+  /** Returns the sum over peers; it is added up again only when a digest is new or forgotten. */
+  private PeerLoad peerSum(long now) {
+    if (now - peerSum.at() >= PEERS_FORGOTTEN_NANOS) {
+      peers.values().removeIf(peer -> now - peer.at() >= PEERS_FORGOTTEN_NANOS);
+      addUpPeers();
+    }
+    return peerSum;
+  }
+
+  private void addUpPeers() {
+    peerSum =
+        peers.values().stream()
+            .reduce(
+                (one, other) ->
+                    new PeerLoad(
+                        one.requests() + other.requests(),
+                        one.unread() + other.unread(),
+                        Math.min(one.at(), other.at())))
+            .orElse(PeerLoad.NONE);
   }
 
   void peerHas(String peer, Optional<InFlightAt> inFlight, long now) {
@@ -75,6 +92,7 @@
     } else {
       peers.remove(peer);
     }
+    addUpPeers();
   }
 
   boolean rests(long now) {
@@ -130,5 +148,8 @@
 
   private record Running(int unread) {}
 
-  private record PeerLoad(int requests, long unread, long at) {}
+  /** Holds what peers have in flight; {@code at} is when the oldest part was heard. */
+  private record PeerLoad(int requests, long unread, long at) {
+    static final PeerLoad NONE = new PeerLoad(0, 0, Long.MAX_VALUE);
+  }
 }
--- a/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
@@ -9,7 +9,6 @@
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.Kind;
-import org.endivemux.model.OrganisationId;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.CapacityBounds;
 import org.endivemux.model.gateway.EngineProfile;
@@ -80,14 +79,11 @@
     return new FleetJob(
         new RequestId("r" + number),
         LLM,
-        new OrganisationId("o"),
         urgency,
         number,
-        number + 500 * MILLI,
         number + 400 * MILLI,
         prompt,
         longPrompts,
-        true,
         Set.of());
   }
 
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -9,7 +9,7 @@
 import net.jqwik.api.Example;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Kind;
-import org.endivemux.model.RequestId;
+import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 
 /** Shows who is bound, in which order and to which server. */
@@ -40,7 +40,7 @@
     scheduler.list(Fleet.oneInEachDomain());
     IntStream.range(0, 50).forEach(i -> scheduler.offer(Fleet.job(i, 1, PromptShape.none())));
     assertThat(scheduler.bind(0)).hasSize(32);
-    assertThat(scheduler.waiting()).isEqualTo(18);
+    assertThat(scheduler.loads()).extracting(ServiceLoad::requests).containsExactly(50);
   }
 
   @Example
@@ -108,12 +108,16 @@
   }
 
   @Example
-  void jobsThatNoServerTookExpire() {
+  void loadOfAnEntryThatFallsSilentIsForgotten() {
     FleetScheduler scheduler = scheduler();
+    scheduler.list(Fleet.oneInEachDomain());
+    List<InFlightAt> theirs =
+        Fleet.oneInEachDomain().stream()
+            .map(server -> new InFlightAt(InFlightAt.tag(server.id()), 8, 0))
+            .toList();
+    scheduler.peerDigest("other", theirs, 0);
     scheduler.offer(Fleet.job(1, 1, PromptShape.none()));
-    assertThat(scheduler.expire(399 * Fleet.MILLI)).isEmpty();
-    assertThat(scheduler.expire(401 * Fleet.MILLI))
-        .extracting(FleetJob::id)
-        .containsExactly(new RequestId("r1"));
+    assertThat(scheduler.bind(1499 * Fleet.MILLI)).isEmpty();
+    assertThat(scheduler.bind(1500 * Fleet.MILLI)).hasSize(1);
   }
 }
