endivemux explain and check: a request's cause from logs, a declaration's faults without a VM

Ruled out: asking the entries themselves (logs are what is left when somebody complains). Change: LogLine, LogFiles, RequestStory; both commands ask no VM.

--- a/cli/src/main/java/org/endivemux/cli/CliMain.java
+++ b/cli/src/main/java/org/endivemux/cli/CliMain.java
@@ -63,7 +63,7 @@
     int nameWords = command.name().split(" ", -1).length;
     Command.Arguments arguments =
         new Command.Arguments(words.subList(nameWords, words.size()), given(options));
-    JsonNode answer = command.run(session(options), arguments);
+    JsonNode answer = command.run(() -> session(options), arguments);
     System.out.println(Output.of(answer, form));
     boolean notYet = answer.has("in_force") && !answer.path("in_force").asBoolean();
     return notYet ? ExitStatus.NOT_YET_IN_FORCE : ExitStatus.OK;
--- a/cli/src/main/java/org/endivemux/cli/Command.java
+++ b/cli/src/main/java/org/endivemux/cli/Command.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.function.Supplier;
 
 /** Is one subcommand. Implementations are stateless and thread-safe. */
 interface Command {
@@ -17,8 +18,8 @@
   /** Returns an example for the help. */
   String example();
 
-  /** Runs it; throws {@link CliException}. */
-  JsonNode run(Session session, Arguments arguments);
+  /** Runs it; throws {@link CliException}. A command that asks no VM leaves the session unused. */
+  JsonNode run(Supplier<Session> session, Arguments arguments);
 
   /** Holds the words after the subcommand's name, and its options. Immutable and thread-safe. */
   record Arguments(List<String> words, java.util.Map<String, String> options) {
--- a/cli/src/main/java/org/endivemux/cli/Commands.java
+++ b/cli/src/main/java/org/endivemux/cli/Commands.java
@@ -15,6 +15,8 @@
 import java.util.Map;
 import java.util.UUID;
 import java.util.function.BiFunction;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
 import java.util.stream.StreamSupport;
 import org.endivemux.model.Declaration;
 import org.endivemux.model.DeclarationCheck;
@@ -28,6 +30,28 @@
 
   /** Returns all subcommands in the order of the help. */
   static List<Command> all() {
+    return Stream.concat(local().stream(), remote().stream()).toList();
+  }
+
+  /** Returns the subcommands that read files and ask no VM. */
+  private static List<Command> local() {
+    return List.of(
+        new SimpleCommand(
+            "check",
+            "FILE",
+            "Checks a declaration and names each fault in a sentence; asks no VM.",
+            "endivemux check gardskassan.yaml",
+            (session, args) -> check(args)),
+        new SimpleCommand(
+            "explain",
+            "REQUEST-ID LOG-FILE-OR-FOLDER...",
+            "Tells from logs what became of a request, and why; asks no VM.",
+            "endivemux explain 2a3e027586949037 logs/",
+            (session, args) -> explain(args)));
+  }
+
+  /** Returns the subcommands that ask a VM. */
+  private static List<Command> remote() {
     return List.of(
         make(
             "plan",
@@ -104,17 +128,37 @@
       String summary,
       String example,
       BiFunction<Session, Command.Arguments, JsonNode> action) {
-    return new SimpleCommand(name, arguments, summary, example, action);
+    return new SimpleCommand(
+        name, arguments, summary, example, (session, args) -> action.apply(session.get(), args));
+  }
+
+  private static JsonNode check(Command.Arguments arguments) {
+    Path file = Path.of(arguments.word(0, "file"));
+    checked(file);
+    return JsonNodeFactory.instance.objectNode().put("sound", file.toString());
+  }
+
+  private static JsonNode explain(Command.Arguments arguments) {
+    String request = arguments.word(0, "request's id");
+    arguments.word(1, "log files");
+    List<String> logs = arguments.words().subList(1, arguments.words().size());
+    return new RequestStory(request, LogFiles.read(logs)).tell();
   }
 
   private static JsonNode plan(Session session, Command.Arguments arguments) {
-    Declaration declaration = readDeclaration(Path.of(arguments.word(0, "file")));
+    Declaration declaration = checked(Path.of(arguments.word(0, "file")));
+    String id = arguments.option("id", UUID.randomUUID().toString());
+    return session.post("/v1/plans", Map.of("plan", id, "declaration", declaration));
+  }
+
+  /** Reads a declaration; throws {@link CliException} with a sentence for each of its faults. */
+  private static Declaration checked(Path file) {
+    Declaration declaration = readDeclaration(file);
     List<String> errors = DeclarationCheck.errors(declaration);
     if (!errors.isEmpty()) {
       throw new CliException(ExitStatus.USAGE, String.join(System.lineSeparator(), errors));
     }
-    String id = arguments.option("id", UUID.randomUUID().toString());
-    return session.post("/v1/plans", Map.of("plan", id, "declaration", declaration));
+    return declaration;
   }
 
   private static Declaration readDeclaration(Path file) {
@@ -174,10 +218,10 @@
       String arguments,
       String summary,
       String example,
-      BiFunction<Session, Command.Arguments, JsonNode> action)
+      BiFunction<Supplier<Session>, Command.Arguments, JsonNode> action)
       implements Command {
     @Override
-    public JsonNode run(Session session, Arguments given) {
+    public JsonNode run(Supplier<Session> session, Arguments given) {
       return action.apply(session, given);
     }
   }
--- /dev/null
+++ b/cli/src/main/java/org/endivemux/cli/LogLine.java
@@ -0,0 +1,46 @@
+package org.endivemux.cli;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Holds one line of a process's log, read as key=value pairs.
+ *
+ * <p>Immutable and thread-safe. Text before the first pair, such as a time that a collector adds,
+ * is passed over.
+ *
+ * @param process name of the log that the line stands in
+ */
+record LogLine(String process, Map<String, String> fields) {
+  private static final Pattern PAIR = Pattern.compile("(\\w+)=(?:\"([^\"]*)\"|(\\S*))");
+
+  LogLine {
+    fields = java.util.Collections.unmodifiableMap(new LinkedHashMap<>(fields));
+  }
+
+  /** Reads a line; empty when it tells no event. */
+  static Optional<LogLine> parse(String process, String line) {
+    Map<String, String> fields = new LinkedHashMap<>();
+    Matcher pairs = PAIR.matcher(line);
+    while (pairs.find()) {
+      fields.putIfAbsent(pairs.group(1), pairs.group(2) == null ? pairs.group(3) : pairs.group(2));
+    }
+    return Optional.of(new LogLine(process, fields)).filter(read -> fields.containsKey("event"));
+  }
+
+  String event() {
+    return fields.get("event");
+  }
+
+  /** Returns a field's value, or an empty text. */
+  String field(String name) {
+    return fields.getOrDefault(name, "");
+  }
+
+  boolean is(String event) {
+    return event().equals(event);
+  }
+}
