Load of all entries through the leader, lists as differences, a need presumed before the load is known; soak and explain test

Each of 63 entries knew the load of its cell of eight alone, and the planner replaced 112 engines by 64 within seconds before it had seen any load. Each change of the list sent all 118 entries of it to all. Ruled out: larger cells (messages grow with the square: 3,780 a second at eight already); dealing engines to cells (each cell would read the shared parts of every session again). Change: polls carry what an entry has in flight, answers the sum over all others, above one cell's size in place of digests between entries; FleetLoad keeps the sums as running state. ServerListUpdate sends differences. CapacityPlanner presumes the need that the present servers were set up for, and counts a third of an engine's slots as busy. A server that says it is full rests for 250 ms. Soak and its stand-ins (test-jar of platform); explain shown on real processes. Tests: FleetLoadTest, ServerListUpdateTest, morningBeforeAnyLoadIsKnownKeepsWhatWasSetUp, fullServerIsLeftAloneForAMomentWhileAnotherHasRoom, ExplainTest, GatewaySoakTest. Not yet run: the new integration tests.

--- a/control/src/main/java/org/endivemux/control/client/GatewayLedger.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewayLedger.java
@@ -5,10 +5,12 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.endivemux.control.message.ControlReply.GatewayNews;
 import org.endivemux.control.message.ControlRequest.GatewayPoll;
 import org.endivemux.control.voter.Clocks;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceLoad;
@@ -31,8 +33,10 @@
   private final Clocks clocks;
   private final long windowMillis;
   private final Supplier<List<ServiceLoad>> loads;
+  private final Supplier<List<InFlightAt>> inFlight;
   private final TreeMap<Long, Map<OrganisationId, Long>> windows = new TreeMap<>();
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<List<InFlightAt>>> loadListeners = new CopyOnWriteArrayList<>();
   private List<GatewayServer> servers = List.of();
   private long serversNumber;
   private long heardAt;
@@ -41,11 +45,17 @@
 
   /**
    * @param loads gives the requests that this process has for each service
+   * @param inFlight gives what it has in flight at each backend server
    */
-  public GatewayLedger(Clocks clocks, long windowMillis, Supplier<List<ServiceLoad>> loads) {
+  public GatewayLedger(
+      Clocks clocks,
+      long windowMillis,
+      Supplier<List<ServiceLoad>> loads,
+      Supplier<List<InFlightAt>> inFlight) {
     this.clocks = clocks;
     this.windowMillis = windowMillis;
     this.loads = loads;
+    this.inFlight = inFlight;
     this.heardAt = clocks.nanos();
   }
 
@@ -64,11 +74,13 @@
   }
 
   GatewayPoll poll() {
-    List<ServiceLoad> present = loads.get();
-    return poll(present);
+    List<ServiceLoad> presentLoads = loads.get();
+    List<InFlightAt> presentInFlight = inFlight.get();
+    return poll(presentLoads, presentInFlight);
   }
 
-  private synchronized GatewayPoll poll(List<ServiceLoad> present) {
+  private synchronized GatewayPoll poll(
+      List<ServiceLoad> presentLoads, List<InFlightAt> presentInFlight) {
     List<WindowCount> counts =
         windows.entrySet().stream()
             .flatMap(
@@ -76,7 +88,7 @@
                     window.getValue().entrySet().stream()
                         .map(e -> new WindowCount(window.getKey(), e.getKey(), e.getValue())))
             .toList();
-    return new GatewayPoll(serversNumber, counts, clocks.millis(), present);
+    return new GatewayPoll(serversNumber, counts, clocks.millis(), presentLoads, presentInFlight);
   }
 
   void take(GatewayNews news) {
@@ -85,8 +97,10 @@
       heardAt = clocks.nanos();
       noteTime(news.millis() - heardAt / NANOS_PER_MILLI);
       serversNumber = news.serversNumber();
-      servers = news.servers().orElse(servers);
+      List<GatewayServer> known = servers;
+      servers = news.servers().map(update -> update.applyTo(known)).orElse(known);
     }
+    news.inFlight().ifPresent(others -> loadListeners.forEach(it -> it.accept(others)));
     if (changed) {
       listeners.forEach(Runnable::run);
     }
@@ -119,6 +133,11 @@
     return clocks.nanos() - heardAt;
   }
 
+  /** Calls back with what all other entries have in flight; the listener must not block. */
+  public void onFleetLoad(Consumer<List<InFlightAt>> listener) {
+    loadListeners.add(listener);
+  }
+
   /** Calls back whenever the list of backend servers changes; the listener must not block. */
   public void onServers(Runnable listener) {
     listeners.add(listener);
--- a/control/src/main/java/org/endivemux/control/message/ControlReply.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -11,8 +11,9 @@
 import org.endivemux.control.state.Order;
 import org.endivemux.control.state.UsageWindow;
 import org.endivemux.model.EntryInfo;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.VmId;
-import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerListUpdate;
 
 /** Describes the answers of a voter. All kinds are immutable and thread-safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -43,12 +44,18 @@
   /**
    * Holds the gateway's part of the news. Immutable and thread-safe.
    *
-   * @param servers backend servers, when their list has changed
+   * @param servers what the asker's list of backend servers lacks
    * @param millis the leader's estimate of true time when it sent this
    * @param voters VMs that may lead
+   * @param inFlight what all other entries have in flight, when they are too many to tell each
+   *     other
    */
   record GatewayNews(
-      long serversNumber, Optional<List<GatewayServer>> servers, long millis, List<VmId> voters) {
+      long serversNumber,
+      Optional<ServerListUpdate> servers,
+      long millis,
+      List<VmId> voters,
+      Optional<List<InFlightAt>> inFlight) {
     public GatewayNews {
       voters = List.copyOf(voters);
     }
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -6,6 +6,7 @@
 import org.endivemux.control.state.Command;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.IdempotencyKey;
+import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.UsageLine;
 import org.endivemux.model.gateway.ServiceLoad;
@@ -61,17 +62,23 @@
    * @param counts running totals of recent usage windows
    * @param wallMillis the entry's wall clock when it sent this
    * @param loads requests that the entry has for each service
+   * @param inFlight what the entry has in flight at each backend server
    */
   record GatewayPoll(
-      long serversNumber, List<WindowCount> counts, long wallMillis, List<ServiceLoad> loads) {
+      long serversNumber,
+      List<WindowCount> counts,
+      long wallMillis,
+      List<ServiceLoad> loads,
+      List<InFlightAt> inFlight) {
     public GatewayPoll {
+      inFlight = List.copyOf(inFlight);
       counts = List.copyOf(counts);
       loads = List.copyOf(loads);
     }
 
     /** Returns the part of an entry that runs no gateway. */
     public static GatewayPoll none() {
-      return new GatewayPoll(0, List.of(), 0, List.of());
+      return new GatewayPoll(0, List.of(), 0, List.of(), List.of());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -147,7 +147,7 @@
     if (gateway.wallMillis() > 0) {
       time.observed(poll.entry().vm(), gateway.wallMillis());
       counts.add(poll.entry(), gateway.counts(), time.millis());
-      loads.add(poll.entry().vm(), gateway.loads(), clocks.nanos());
+      loads.add(poll.entry().vm(), gateway.loads(), gateway.inFlight(), clocks.nanos());
     }
   }
 
@@ -160,13 +160,17 @@
         changes.orElse(List.of()),
         registry.number(),
         sameEntries ? Optional.empty() : Optional.of(registry.entries()),
-        gatewayNews(poll.gateway()));
+        gatewayNews(poll));
   }
 
-  private ControlReply.GatewayNews gatewayNews(ControlRequest.GatewayPoll poll) {
+  private ControlReply.GatewayNews gatewayNews(ControlRequest.Poll poll) {
     long term = voter.status().term();
     return new ControlReply.GatewayNews(
-        servers.number(term), servers.unless(term, poll.serversNumber()), time.millis(), voters());
+        servers.number(term),
+        servers.unless(term, poll.gateway().serversNumber()),
+        time.millis(),
+        voters(),
+        loads.ofOthers(poll.entry().vm()));
   }
 
   /** Returns the entries that live. */
--- /dev/null
+++ b/control/src/test/java/org/endivemux/control/voter/FleetLoadTest.java
@@ -0,0 +1,69 @@
+package org.endivemux.control.voter;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.endivemux.model.InFlightAt;
+import org.endivemux.model.VmId;
+import org.endivemux.routing.Cells;
+
+/** Shows what each of many entries learns of the load of all others. */
+final class FleetLoadTest {
+  private static final long SECOND = 1_000_000_000L;
+  private static final int ENTRIES = 63;
+
+  private static VmId vm(int number) {
+    return new VmId("vm" + number);
+  }
+
+  @Property(tries = 30, seed = "41")
+  void sumOfOthersIsExactHoweverOftenEntriesReport(@ForAll long seed) {
+    Random random = new Random(seed);
+    FleetLoad loads = new FleetLoad();
+    int[] latest = new int[ENTRIES];
+    IntStream.range(0, 1000)
+        .forEach(
+            round -> {
+              int entry = round < ENTRIES ? round : random.nextInt(ENTRIES);
+              latest[entry] = random.nextInt(5);
+              List<InFlightAt> inFlight =
+                  latest[entry] == 0
+                      ? List.of()
+                      : List.of(new InFlightAt(7, latest[entry], 100L * latest[entry]));
+              loads.add(vm(entry), List.of(), inFlight, 0);
+            });
+    int all = IntStream.of(latest).sum();
+    assertThat(requestsAt(loads, 7, 0)).isEqualTo(all - latest[0]);
+  }
+
+  private static int requestsAt(FleetLoad loads, int server, int asker) {
+    return loads.ofOthers(vm(asker)).orElseThrow().stream()
+        .filter(at -> at.server() == server)
+        .mapToInt(InFlightAt::requests)
+        .sum();
+  }
+
+  @Example
+  void fewEntriesTellEachOther() {
+    FleetLoad loads = new FleetLoad();
+    IntStream.range(0, Cells.MAX_SIZE)
+        .forEach(entry -> loads.add(vm(entry), List.of(), List.of(new InFlightAt(1, 1, 0)), 0));
+    assertThat(loads.ofOthers(vm(0))).isEmpty();
+  }
+
+  @Example
+  void entryThatFellSilentIsForgotten() {
+    FleetLoad loads = new FleetLoad();
+    IntStream.range(0, ENTRIES)
+        .forEach(entry -> loads.add(vm(entry), List.of(), List.of(new InFlightAt(1, 1, 0)), 0));
+    IntStream.range(0, 10)
+        .forEach(
+            entry -> loads.add(vm(entry), List.of(), List.of(new InFlightAt(1, 1, 0)), 3 * SECOND));
+    assertThat(requestsAt(loads, 1, 0)).isEqualTo(9);
+  }
+}
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -118,7 +118,7 @@
             control,
             this::info,
             usage,
-            new GatewayLedger(clocks, settings.usageWindow().toMillis(), List::of),
+            new GatewayLedger(clocks, settings.usageWindow().toMillis(), List::of, List::of),
             clocks);
     Scheduler scheduler = new Scheduler(settings.failureDomain(), Choices.named(settings.policy()));
     this.dispatcher = new Dispatcher(scheduler, clocks::nanos);
--- a/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
@@ -69,6 +69,9 @@
     if (present <= 0) {
       return;
     }
+    if (entries.get().isEmpty() && links.isEmpty()) {
+      return;
+    }
     PeerDigest digest = new PeerDigest(loads.digest());
     boolean nothingNew = digest.equals(last);
     boolean needsNoRepeat = digest.inFlight().isEmpty() || number % QUIET_ROUNDS != 0;
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
@@ -89,7 +89,7 @@
     PeerRouter router =
         new PeerRouter(voter.map(GatewayVoter::voter), voter.map(GatewayVoter::service), loads);
     new PeerServer(
-            GatewaySettings.address(settings.peerId().value()),
+            settings.peerListenAddress(),
             router,
             PeerSecurity.none(),
             LinkTiming.relaxed(),
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -25,6 +25,7 @@
 import org.endivemux.platform.DirectoryFace;
 import org.endivemux.platform.HttpBackends;
 import org.endivemux.platform.PlatformApi;
+import org.endivemux.routing.Cells;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.wire.PeerLink;
@@ -49,6 +50,9 @@
   /** Callers that keep an old list of entries are served for so many of its lifetimes. */
   private static final double LIFETIMES_KEPT = 1.5;
 
+  /** Stands for all other entries together where their load comes through the leader. */
+  private static final String ALL_OTHERS = "all others";
+
   private static final Duration IDLE_CHECK = Duration.ofMillis(50);
 
   private final GatewaySettings settings;
@@ -77,7 +81,8 @@
     Scheduler timers = Schedulers.fromExecutorService(loop.onServer(true).next());
     this.pool = new ServerPool(new FleetScheduler(settings.domain()), clocks::nanos, timers);
     GatewayLedger ledger =
-        new GatewayLedger(clocks, settings.usageWindow().toMillis(), pool::loads);
+        new GatewayLedger(clocks, settings.usageWindow().toMillis(), pool::loads, pool::digest);
+    ledger.onFleetLoad(others -> pool.peerDigest(ALL_OTHERS, others));
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), ledger, clocks);
     GatewayCounters counters = new GatewayCounters(metrics);
@@ -105,7 +110,12 @@
         new PlatformApi(
             new VmId(settings.vm()), settings.platformAddress().orElseThrow(), () -> false, loop);
     this.listing = new DirectListing(ledger, platform::servers, this::entryCount, clocks::nanos);
-    this.digests = new DigestExchange(settings.peerId(), follower::entries, pool, hintLink);
+    this.digests = new DigestExchange(settings.peerId(), this::fewEntries, pool, hintLink);
+  }
+
+  /** Returns the entries while they tell each other their load; more of them tell the leader. */
+  private List<EntryInfo> fewEntries() {
+    return follower.entries().size() <= Cells.MAX_SIZE ? follower.entries() : List.of();
   }
 
   private int entryCount() {
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -22,7 +22,9 @@
  * <p>Immutable and thread-safe.
  *
  * @param vm name of the VM, under which it calls the platform
- * @param host IP number on which all ports are opened
+ * @param host IP number under which other VMs know this one
+ * @param listenHost IP number on which the peer port is opened, where others reach it through
+ *     something that forwards; {@code host} if absent
  * @param peerPort port for other VMs, the same on each
  * @param contacts addresses of VMs that may lead; only their IP numbers are used
  * @param mayForm whether an empty data folder may help to form the first quorum
@@ -40,6 +42,7 @@
     String vm,
     String failureDomain,
     String host,
+    Optional<String> listenHost,
     int peerPort,
     List<String> contacts,
     boolean mayForm,
@@ -104,6 +107,11 @@
     return new VmId(ofHost + ":" + peerPort);
   }
 
+  /** Returns where the port for other VMs is opened. */
+  InetSocketAddress peerListenAddress() {
+    return new InetSocketAddress(listenHost.orElse(host), peerPort);
+  }
+
   Set<VmId> contactIds() {
     return contacts.stream()
         .map(contact -> peerId(contact.substring(0, contact.lastIndexOf(':'))))
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -19,7 +19,7 @@
   private final AtomicLong nanos = new AtomicLong(Duration.ofHours(1).toNanos());
   private final AtomicInteger reads = new AtomicInteger();
   private final GatewayLedger ledger =
-      new GatewayLedger(new Clocks(nanos::get, () -> 0), 5000, List::of);
+      new GatewayLedger(new Clocks(nanos::get, () -> 0), 5000, List::of, List::of);
 
   private DirectListing listing(int entries) {
     return new DirectListing(
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -142,7 +142,7 @@
         new Relay(
             pool,
             script,
-            new GatewayLedger(Clocks.system(), 5000, List::of),
+            new GatewayLedger(Clocks.system(), 5000, List::of, List::of),
             new GatewayCounters(new MetricRegistry()),
             () -> new RouteTable(config),
             () -> 1,
--- /dev/null
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -0,0 +1,214 @@
+package org.endivemux.integration;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.endivemux.platform.standin.EngineStandIn;
+import org.endivemux.platform.standin.OperatorStandIn;
+import org.endivemux.platform.standin.PlatformStandIn;
+import org.endivemux.platform.standin.Witness;
+import org.endivemux.testing.FaultProxy;
+
+/**
+ * Runs a gateway's real processes on loopback addresses of their own, with stand-ins around them
+ * and a fault proxy before every peer port, every backend server and the platform.
+ *
+ * <p>Used by one test.
+ */
+final class GatewayFleet implements AutoCloseable {
+  private static final int PEER_PORT = 7340;
+  private static final int ENGINE_PORT = 8080;
+  private static final int PLATFORM_PORT = 8223;
+  private static final int CALLERS_PORT = 8227;
+  private static final int READINESS_PORT = 8220;
+  private static final int OPERATOR_PORT = 8229;
+  private static final int VOTERS = 3;
+
+  /** Added to the last number of an address under which others know a VM, to get its own. */
+  private static final int BEHIND_PROXY = 100;
+
+  /** Each fleet of a run of tests, and each fork of it, has a network of its own. */
+  private static final int FORK = Integer.parseInt(System.getProperty("fork.number", "1"));
+
+  private static final AtomicInteger NEXT_NETWORK = new AtomicInteger(new Random().nextInt(200));
+
+  final Witness witness = new Witness();
+  final OperatorStandIn operator = new OperatorStandIn(witness);
+  final List<Vm> voters = new ArrayList<>();
+  final List<Vm> entries = new ArrayList<>();
+  final List<EngineStandIn> engines = new ArrayList<>();
+  final List<FaultProxy> engineProxies = new ArrayList<>();
+  final List<FaultProxy> peerProxies = new ArrayList<>();
+  final PlatformStandIn platform;
+  final FaultProxy platformProxy;
+  final Path logs = makeFolder();
+  private final Path data = makeFolder();
+  private final String network = "127." + (30 + FORK) + "." + NEXT_NETWORK.getAndIncrement() + ".";
+  private int enginesStarted;
+
+  GatewayFleet(int entryCount, int engineCount) {
+    platform = new PlatformStandIn(at(8, PLATFORM_PORT), witness);
+    platformProxy = new FaultProxy(at(9, PLATFORM_PORT), at(8, PLATFORM_PORT), 1);
+    IntStream.range(0, engineCount).forEach(this::addEngine);
+    listEngines();
+    IntStream.range(0, VOTERS).forEach(i -> voters.add(vm("voter" + (i + 1))));
+    IntStream.range(0, entryCount).forEach(i -> entries.add(vm("entry" + (i + 1))));
+    vms().forEach(vm -> peerProxies.add(peerProxy(vm)));
+    writeSettings(true);
+  }
+
+  private static Path makeFolder() {
+    try {
+      return Files.createTempDirectory("gateway");
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private InetSocketAddress at(int number, int port) {
+    return new InetSocketAddress(network + number, port);
+  }
+
+  private Vm vm(String name) {
+    return new Vm(name, 0, PEER_PORT, logs, "--gateway-settings");
+  }
+
+  /** Returns all VMs, the voters first. */
+  List<Vm> vms() {
+    return Stream.concat(voters.stream(), entries.stream()).toList();
+  }
+
+  private int number(Vm vm) {
+    return 10 + vms().indexOf(vm);
+  }
+
+  private FaultProxy peerProxy(Vm vm) {
+    int number = number(vm);
+    return new FaultProxy(at(number, PEER_PORT), at(number + BEHIND_PROXY, PEER_PORT), number);
+  }
+
+  private void addEngine(int index) {
+    engines.add(startEngine(index));
+    engineProxies.add(
+        new FaultProxy(
+            at(50 + index, ENGINE_PORT), at(50 + index + BEHIND_PROXY, ENGINE_PORT), index));
+  }
+
+  private EngineStandIn startEngine(int index) {
+    return new EngineStandIn(
+        "i-" + ++enginesStarted, at(50 + index + BEHIND_PROXY, ENGINE_PORT), witness);
+  }
+
+  /** Lets a new backend server take the address of one that ends. */
+  void replaceEngine(int index) {
+    engines.get(index).close();
+    engines.set(index, startEngine(index));
+    listEngines();
+  }
+
+  /** Tells the platform of all backend servers; every other one serves the tills. */
+  void listEngines() {
+    platform.list(
+        IntStream.range(0, engines.size())
+            .mapToObj(
+                i ->
+                    PlatformStandIn.listed(
+                        engines.get(i).id(),
+                        i % 2 == 0 ? "till" : "llm",
+                        network + (50 + i) + ":" + ENGINE_PORT,
+                        "d" + i % 3))
+            .toList());
+  }
+
+  /** Writes the settings of all VMs; only a first start may form a quorum. */
+  void writeSettings(boolean mayForm) {
+    String contacts =
+        voters.stream()
+            .map(voter -> "\"" + network + number(voter) + ":" + OPERATOR_PORT + "\"")
+            .collect(Collectors.joining(", "));
+    vms().forEach(vm -> writeSettings(vm, contacts, mayForm));
+  }
+
+  private void writeSettings(Vm vm, String contacts, boolean mayForm) {
+    String own = network + (number(vm) + BEHIND_PROXY);
+    Stream<String> roles =
+        voters.contains(vm)
+            ? Stream.of(
+                "dataFolder: " + dataFolder(vm), "operatorAddress: " + own + ":" + OPERATOR_PORT)
+            : Stream.of(
+                "callersAddress: " + own + ":" + CALLERS_PORT,
+                "readinessAddress: " + own + ":" + READINESS_PORT);
+    Stream<String> common =
+        Stream.of(
+            "vm: " + vm.name,
+            "failureDomain: d" + vms().indexOf(vm) % 3,
+            "host: " + network + number(vm),
+            "listenHost: " + own,
+            "peerPort: " + PEER_PORT,
+            "contacts: [" + contacts + "]",
+            "mayForm: " + mayForm,
+            "platformAddress: " + network + 9 + ":" + PLATFORM_PORT,
+            "usageWindowSeconds: 2",
+            "retryRatio: 0.2",
+            "retryWindowSeconds: 10",
+            "retrySlack: 50",
+            "drainSeconds: 4",
+            "entriesLifetimeSeconds: 1");
+    try {
+      Files.writeString(
+          vm.settings(), Stream.concat(common, roles).collect(Collectors.joining("\n", "", "\n")));
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  Path dataFolder(Vm voter) {
+    return data.resolve(voter.name);
+  }
+
+  String operatorAddress(Vm voter) {
+    return network + (number(voter) + BEHIND_PROXY) + ":" + OPERATOR_PORT;
+  }
+
+  String callersAddress(Vm entry) {
+    return network + (number(entry) + BEHIND_PROXY) + ":" + CALLERS_PORT;
+  }
+
+  /** Starts all VMs and returns once a first configuration is in force at every entry. */
+  void start() {
+    vms().forEach(Vm::start);
+    Await.until(
+        "a first configuration",
+        () -> voters.stream().anyMatch(voter -> operator.put(operatorAddress(voter), 1)));
+    writeSettings(false);
+    awaitReady();
+  }
+
+  void awaitReady() {
+    Await.until("all entries ready", () -> entries.stream().allMatch(this::isReady));
+  }
+
+  private boolean isReady(Vm entry) {
+    String url = "http://" + network + (number(entry) + BEHIND_PROXY) + ":" + READINESS_PORT;
+    return Http.call("GET", url + "/v1/readiness", "", Map.of(), "").status() == 200;
+  }
+
+  @Override
+  public void close() {
+    vms().forEach(Vm::kill);
+    peerProxies.forEach(FaultProxy::close);
+    engineProxies.forEach(FaultProxy::close);
+    engines.forEach(EngineStandIn::close);
+    platformProxy.close();
+    platform.close();
+  }
+}
--- a/integration/src/test/java/org/endivemux/integration/Vm.java
+++ b/integration/src/test/java/org/endivemux/integration/Vm.java
@@ -15,14 +15,21 @@
   final int httpPort;
   final int peerPort;
   private final Path folder;
+  private final String settingsOption;
   private Process process;
   private boolean wanted;
 
   Vm(String name, int httpPort, int peerPort, Path folder) {
+    this(name, httpPort, peerPort, folder, "--settings");
+  }
+
+  /** Makes a VM whose daemon is told its settings file by an option. */
+  Vm(String name, int httpPort, int peerPort, Path folder, String settingsOption) {
     this.name = name;
     this.httpPort = httpPort;
     this.peerPort = peerPort;
     this.folder = folder;
+    this.settingsOption = settingsOption;
   }
 
   Path settings() {
@@ -47,22 +54,35 @@
   }
 
   void start() {
+    start(List.of(), ProcessBuilder.Redirect.appendTo(log().toFile()));
+  }
+
+  /** Starts it so that no file of it can grow beyond a size, as on a full disk; logs are lost. */
+  void startWithFilesUpTo(long kilobytes) {
+    start(
+        List.of("bash", "-c", "ulimit -f " + kilobytes + "; exec \"$@\"", "limited"),
+        ProcessBuilder.Redirect.DISCARD);
+  }
+
+  private void start(List<String> launcher, ProcessBuilder.Redirect output) {
     wanted = true;
+    Stream<String> java =
+        Stream.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+PerfDisableSharedMem",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xmx" + System.getProperty("vm.heap", "128m"),
+            "-cp",
+            System.getProperty("java.class.path"),
+            DaemonMain.class.getName(),
+            settingsOption,
+            settings().toString());
     try {
       process =
-          new ProcessBuilder(
-                  Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                  "-XX:+PerfDisableSharedMem",
-                  "-XX:+UseSerialGC",
-                  "-XX:TieredStopAtLevel=1",
-                  "-Xmx" + System.getProperty("vm.heap", "128m"),
-                  "-cp",
-                  System.getProperty("java.class.path"),
-                  DaemonMain.class.getName(),
-                  "--settings",
-                  settings().toString())
+          new ProcessBuilder(Stream.concat(launcher.stream(), java).toList())
               .redirectErrorStream(true)
-              .redirectOutput(ProcessBuilder.Redirect.appendTo(log().toFile()))
+              .redirectOutput(output)
               .start();
     } catch (IOException e) {
       throw new AssertionError(e);
--- a/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
@@ -24,6 +24,9 @@
   /** Requests that one engine serves at a time without slowing its streams beyond their targets. */
   private static final double REQUESTS_PER_SERVER = 6;
 
+  /** Part of an engine's slots that is in use on average, so that bursts find room. */
+  private static final double BUSY_SLOTS = 1.0 / 3;
+
   /** Weight of the newest sample when the load grows, so that a burst is followed at once. */
   private static final double RISE = 0.5;
 
@@ -48,17 +51,35 @@
    * @param listed all listed backend servers
    */
   public List<Target> plan(ServiceSpec spec, int requests, Collection<GatewayServer> listed) {
-    double load = smooth(spec.name(), requests);
     return spec.capacity()
-        .map(bounds -> plan(bounds, load / REQUESTS_PER_SERVER, ofService(spec, listed)))
+        .map(bounds -> plan(spec, bounds, requests, ofService(spec, listed)))
         .orElse(List.of());
   }
 
-  private double smooth(ServiceName service, int requests) {
-    return smoothed.merge(
-        service,
-        (double) requests,
-        (known, sample) -> known + (sample > known ? RISE : FALL) * (sample - known));
+  private List<Target> plan(
+      ServiceSpec spec, CapacityBounds bounds, int requests, List<GatewayServer> serving) {
+    double perServer = requestsPerServer(spec);
+    double known =
+        smoothed.computeIfAbsent(spec.name(), service -> presumedNeed(bounds, serving) * perServer);
+    double load = known + (requests > known ? RISE : FALL) * (requests - known);
+    smoothed.put(spec.name(), load);
+    return plan(bounds, load / perServer, serving);
+  }
+
+  private static double requestsPerServer(ServiceSpec spec) {
+    return spec.engine()
+        .map(engine -> Math.min(REQUESTS_PER_SERVER, engine.slots() * BUSY_SLOTS))
+        .orElse(REQUESTS_PER_SERVER);
+  }
+
+  /**
+   * Returns the need that the present servers were set up for: until the load is known, as many
+   * cheap ones in each domain take their place.
+   */
+  private static double presumedNeed(CapacityBounds bounds, List<GatewayServer> serving) {
+    long cheap = serving.stream().filter(server -> server.kind() == Kind.CHEAP).count();
+    double domains = Math.max(1, bounds.prices().size());
+    return Math.max(cheap, serving.size() - cheap) * (domains - 1) / domains;
   }
 
   private static List<GatewayServer> ofService(ServiceSpec spec, Collection<GatewayServer> listed) {
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -23,6 +23,9 @@
   /** A newer list names the server that has the address by then. */
   private static final long LIST_LAG_NANOS = 2_000_000_000L;
 
+  /** A full engine has a queue to work off before it takes anything again. */
+  private static final long FULL_NANOS = 250_000_000L;
+
   private static final double ERROR_WEIGHT = 0.08;
 
   /** Part of an engine's memory that is taken for kept prompts. */
@@ -136,7 +139,8 @@
       case ERROR -> errorShare += ERROR_WEIGHT * (1 - errorShare);
       case FAILED -> failed(now);
       case GONE -> restsUntil = now + LIST_LAG_NANOS;
-      case FULL, CANCELLED -> {}
+      case FULL -> restsUntil = now + FULL_NANOS;
+      case CANCELLED -> {}
     }
   }
 
--- a/routing/src/test/java/org/endivemux/routing/fleet/CapacityPlannerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/CapacityPlannerTest.java
@@ -43,6 +43,13 @@
     Fleet.DOMAINS.forEach(domain -> assertThat(inDomain(targets, domain)).isBetween(1, 6));
   }
 
+  private static int inDomain(List<Target> targets, FailureDomain domain, Kind kind) {
+    return targets.stream()
+        .filter(target -> target.failureDomain().equals(domain) && target.kind() == kind)
+        .mapToInt(Target::count)
+        .sum();
+  }
+
   private static int inDomain(List<Target> targets, FailureDomain domain) {
     return targets.stream()
         .filter(target -> target.failureDomain().equals(domain))
@@ -60,6 +67,20 @@
     assertThat(left * 6).isGreaterThanOrEqualTo(load);
   }
 
+  @Example
+  void morningBeforeAnyLoadIsKnownKeepsWhatWasSetUp() {
+    List<GatewayServer> setUp =
+        IntStream.range(0, 20)
+            .mapToObj(i -> Fleet.server(i, Fleet.DOMAINS.get(i % 4), Kind.STEADY, false))
+            .toList();
+    CapacityPlanner planner = new CapacityPlanner();
+    Fleet.DOMAINS.forEach(
+        domain ->
+            assertThat(inDomain(planner.plan(Fleet.spec(), 0, setUp), domain, Kind.CHEAP))
+                .isGreaterThanOrEqualTo(4));
+    assertThat(sum(settled(planner, 0, setUp), Kind.CHEAP)).isEqualTo(12);
+  }
+
   @Example
   void steadyServersStandInWhenTooFewAreLeft() {
     List<GatewayServer> left =
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -64,6 +64,16 @@
     assertThat(second.server()).isNotEqualTo(first.server());
   }
 
+  @Example
+  void fullServerIsLeftAloneForAMomentWhileAnotherHasRoom() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.list(Fleet.oneInEachDomain());
+    Binding first = bindOne(scheduler, Fleet.job(1, 0, Fleet.prompt("s")), 0);
+    scheduler.ended(first.job().id(), TryEnd.FULL, 0);
+    Binding second = bindOne(scheduler, Fleet.job(2, 0, Fleet.prompt("s")), Fleet.MILLI);
+    assertThat(second.server()).isNotEqualTo(first.server());
+  }
+
   @Example
   void entriesThatNeverTalkNameTheSameHomeForASession() {
     Map<String, String> homes = new HashMap<>();
--- a/testing/src/main/java/org/endivemux/testing/FaultProxy.java
+++ b/testing/src/main/java/org/endivemux/testing/FaultProxy.java
@@ -50,11 +50,18 @@
   private volatile double loss;
 
   public FaultProxy(int port, int targetPort, long seed) {
-    this.target = new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort);
+    this(
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), port),
+        new InetSocketAddress(InetAddress.getLoopbackAddress(), targetPort),
+        seed);
+  }
+
+  public FaultProxy(InetSocketAddress address, InetSocketAddress target, long seed) {
+    this.target = target;
     this.random = new Random(seed);
     this.server =
         TcpServer.create()
-            .bindAddress(() -> new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+            .bindAddress(() -> address)
             .doOnConnection(this::accept)
             .handle((in, out) -> Mono.never())
             .bindNow();
@@ -99,6 +106,11 @@
     var unused = channel.close();
   }
 
+  /** Closes the present connections; new ones work. */
+  public void resetPresentConnections() {
+    pipes.forEach(Pipe::close);
+  }
+
   /** Returns the port to connect to. */
   public int port() {
     return server.port();
