--- a/integration/src/test/java/org/endivemux/integration/Vm.java
+++ b/integration/src/test/java/org/endivemux/integration/Vm.java
@@ -69,6 +69,7 @@
     Stream<String> java =
         Stream.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            System.getProperty("vm.option", "-XX:+PerfDisableSharedMem"),
             "-XX:+PerfDisableSharedMem",
             "-XX:+UseSerialGC",
             "-XX:TieredStopAtLevel=1",
