--- a/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
@@ -15,7 +15,6 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.endivemux.platform.standin.CallerStandIn;
-import org.endivemux.platform.standin.OperatorStandIn;
 import org.endivemux.platform.standin.RouteKind;
 import org.endivemux.testing.FaultProxy;
 
@@ -199,10 +198,6 @@
     long inForce = fleet.operator.acknowledged();
     Await.until(
         "version " + inForce + " at " + entry.name,
-        () ->
-            fleet.operator.acknowledged() > inForce
-                || caller
-                    .call(address, RouteKind.LOOK_UP, OperatorStandIn.prefixOf(inForce))
-                    .isServed());
+        () -> fleet.operator.acknowledged() > inForce || caller.isInForce(address, inForce));
   }
 }
