--- a/consensus/src/test/java/org/endivemux/consensus/ConsensusCoreTest.java
+++ b/consensus/src/test/java/org/endivemux/consensus/ConsensusCoreTest.java
@@ -43,6 +43,24 @@
     assertThat(cluster.hasCommitted("b")).isTrue();
   }
 
+  @Example
+  void memberThatLosesItsDiskTwiceJoinsTwice() {
+    ClusterSimulation cluster = formed(3, 11);
+    cluster.propose("a");
+    cluster.runFor(SECOND);
+    assertThat(cluster.loseDisk(0)).isTrue();
+    cluster.runFor(10 * SECOND);
+    assertThat(cluster.loseDisk(0)).isTrue();
+    cluster.runFor(10 * SECOND);
+    assertThat(cluster.isWhole()).isTrue();
+    cluster.crash(1);
+    cluster.runFor(5 * SECOND);
+    cluster.propose("b");
+    cluster.runFor(SECOND);
+    assertThat(cluster.hasCommitted("a")).isTrue();
+    assertThat(cluster.hasCommitted("b")).isTrue();
+  }
+
   @Example
   void memberBackFromALongCutDeposesNobody() {
     ClusterSimulation cluster = formed(3, 3);
--- a/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
@@ -26,6 +26,9 @@
  * One disk is lost at most, as the fleet may. Used by one thread.
  */
 final class GatewaySoak {
+  /** Faults of one run. */
+  static final int STEPS = 20;
+
   private static final int ENTRIES = 2;
   private static final int ENGINES = 4;
   private static final int CALLERS = 6;
--- a/integration/src/test/java/org/endivemux/integration/GatewaySoakBench.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoakBench.java
@@ -10,8 +10,6 @@
 
 /** Runs the soak with many seeds; see {@code bin/soak}. */
 final class GatewaySoakBench {
-  private static final int STEPS = 20;
-
   @Example
   void manySeeds() throws Exception {
     long first = Long.getLong("first", 1);
@@ -33,7 +31,7 @@
   }
 
   private static String outcome(long seed) {
-    GatewaySoak soak = new GatewaySoak(seed, STEPS);
+    GatewaySoak soak = new GatewaySoak(seed, GatewaySoak.STEPS);
     try {
       List<String> breaches = soak.run();
       return breaches.isEmpty()
