Large fleets: a few drawn servers and early binding

Change: in a fleet known by sums a choice looks at the home and four drawn servers, and engines get up to twice their slots. Small fleets are untouched.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -50,9 +50,6 @@
   /** Callers that keep an old list of entries are served for so many of its lifetimes. */
   private static final double LIFETIMES_KEPT = 1.5;
 
-  /** Stands for all other entries together where their load comes through the leader. */
-  private static final String ALL_OTHERS = "all others";
-
   private static final Duration IDLE_CHECK = Duration.ofMillis(50);
 
   private final GatewaySettings settings;
@@ -82,7 +79,7 @@
     this.pool = new ServerPool(new FleetScheduler(settings.domain()), clocks::nanos, timers);
     GatewayLedger ledger =
         new GatewayLedger(clocks, settings.usageWindow().toMillis(), pool::loads, pool::digest);
-    ledger.onFleetLoad(others -> pool.peerDigest(ALL_OTHERS, others));
+    ledger.onFleetLoad(pool::othersHave);
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), ledger, clocks);
     GatewayCounters counters = new GatewayCounters(metrics);
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -146,6 +146,14 @@
     bind();
   }
 
+  /** Takes over what all other entries together have in flight, in a fleet of many entries. */
+  public void othersHave(List<InFlightAt> inFlight) {
+    synchronized (lock) {
+      scheduler.othersHave(inFlight, nanos.getAsLong());
+    }
+    bind();
+  }
+
   @Override
   public List<InFlightAt> digest() {
     synchronized (lock) {
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -11,6 +11,7 @@
 import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
@@ -26,14 +27,31 @@
  *
  * <p>Pure: monotonic nanoseconds are passed in and nothing is sent. Invariants: a server that
  * leaves, rests or was avoided by the job gets nothing while another has room; jobs that wait are
- * bound by urgency and then by arrival. Not thread-safe: one caller at a time.
+ * bound by urgency and then by arrival. In a fleet of many entries, known by sums that are some
+ * hundred milliseconds old, a choice looks at the job's home and a few servers drawn by its id. Not
+ * thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private static final int DEFAULT_SLOTS = 8;
 
+  /** Stands for all other entries where their load is told as a sum. */
+  private static final String ALL_OTHERS = "all others";
+
   /** Copying fewer tokens from another engine takes longer than reading them. */
   private static final int LEAST_COPIED_TOKENS = 384;
 
+  /** Servers of a job's own group, and of all, that one choice looks at in a large fleet. */
+  private static final int SAMPLES = 2;
+
+  /**
+   * Engines of a large fleet get so many times their slots: jobs that wait at many entries for room
+   * would all take it at the same news of it, while an engine's own queue takes them in turn.
+   */
+  private static final int ROOM_FACTOR = 2;
+
+  /** Sums that are older are no sign of a large fleet any more. */
+  private static final long SUMS_FORGOTTEN_NANOS = 3_000_000_000L;
+
   /** Long prompts and other requests mix only when waiting apart would cost more than this. */
   private static final double OTHER_GROUP_MILLIS = 250;
 
@@ -43,6 +61,7 @@
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
   private final Map<RequestId, ServerLoad> running = new HashMap<>();
   private LongPromptServers longPromptServers = new LongPromptServers(List.of());
+  private long sumsHeardAt = Long.MIN_VALUE / 2;
 
   /**
    * Holds the server that a job is bound to. Immutable and thread-safe.
@@ -122,7 +141,7 @@
     List<ServerLoad> open =
         of(job.service())
             .filter(load -> !job.avoid().contains(load.server().id()))
-            .filter(load -> load.total(now) < slots(load))
+            .filter(load -> load.total(now) < room(load, now))
             .toList();
     List<ServerLoad> fit = open.stream().filter(load -> !load.rests(now)).toList();
     List<ServerLoad> candidates = fit.isEmpty() ? open : fit;
@@ -130,7 +149,7 @@
         job.prompt()
             .sessionPart()
             .flatMap(part -> HomeServers.homeOf(part, ownGroup(job, candidates)));
-    return candidates.stream()
+    return Stream.concat(home.stream(), lookedAt(job, candidates, now))
         .min(
             Comparator.comparingDouble(
                 load ->
@@ -138,6 +157,31 @@
                         + (isOfOwnGroup(job, load) ? 0 : OTHER_GROUP_MILLIS)));
   }
 
+  /**
+   * Returns all candidates of a small fleet, and a few of a large one: what is known of a large
+   * fleet is older, and entries that all take the server that looks best overrun it.
+   */
+  private Stream<ServerLoad> lookedAt(FleetJob job, List<ServerLoad> candidates, long now) {
+    if (!isLarge(now) || candidates.isEmpty()) {
+      return candidates.stream();
+    }
+    List<ServerLoad> own = ownGroup(job, candidates);
+    return Stream.concat(
+        IntStream.range(0, own.isEmpty() ? 0 : SAMPLES)
+            .mapToObj(i -> own.get(draw(job, i, own.size()))),
+        IntStream.range(SAMPLES, 2 * SAMPLES)
+            .mapToObj(i -> candidates.get(draw(job, i, candidates.size()))));
+  }
+
+  private boolean isLarge(long now) {
+    return now - sumsHeardAt < SUMS_FORGOTTEN_NANOS;
+  }
+
+  private static int draw(FleetJob job, int number, int bound) {
+    int mixed = (job.id().hashCode() * 31 + number) * 0x9E3779B9;
+    return Math.floorMod(mixed ^ (mixed >>> 15), bound);
+  }
+
   /** Returns the server that keeps most of a job's shared parts, if the chosen one lacks some. */
   private Optional<GatewayServer> copyFrom(FleetJob job, ServerLoad chosen) {
     int covered = chosen.covered(job.prompt());
@@ -166,6 +210,10 @@
         .filter(load -> load.server().service().equals(service) && !load.server().leaving());
   }
 
+  private int room(ServerLoad load, long now) {
+    return isLarge(now) ? slots(load) * ROOM_FACTOR : slots(load);
+  }
+
   private static int slots(ServerLoad load) {
     return load.server().slots() > 0 ? load.server().slots() : DEFAULT_SLOTS;
   }
@@ -195,6 +243,12 @@
         (id, load) -> load.peerHas(peer, Optional.ofNullable(byTag.get(InFlightAt.tag(id))), now));
   }
 
+  /** Takes over what all other entries together have in flight, in a fleet of many entries. */
+  public void othersHave(List<InFlightAt> inFlight, long now) {
+    sumsHeardAt = now;
+    peerDigest(ALL_OTHERS, inFlight, now);
+  }
+
   /** Returns what this entry has in flight at each backend server that has any. */
   public List<InFlightAt> digest() {
     return servers.values().stream()
