Soak loses disks by the VM's own method; failed tries looked up once in explain

GatewaySoak.loseDisk deleted a folder as Vm.loseDisk already does, only because GatewayFleet kept data folders apart from the place that Vm names. RequestStory searched all lines again for each try of a server, which grows with the square of a log. Change: Vm.loseDisk and Vm.dataFolder are called; the failed tries are collected into a set first. No assertion changed.

--- a/cli/src/main/java/org/endivemux/cli/RequestStory.java
+++ b/cli/src/main/java/org/endivemux/cli/RequestStory.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Tells from log lines what became of one request, and why.
@@ -127,6 +129,11 @@
         : waited + "; the rest of its time was spent at " + serverOf(latest.get()) + ".";
   }
 
+  /** Returns what names one try of one request. */
+  private static String tryOf(LogLine line) {
+    return line.field("request") + " " + line.field("try");
+  }
+
   /** Returns the server of the try that a line is about. */
   private String serverOf(LogLine line) {
     return own.stream()
@@ -163,17 +170,12 @@
             .filter(line -> line.is(SENT) && line.field("backend").equals(server))
             .filter(line -> !line.field("request").equals(id))
             .toList();
-    long failed =
-        sent.stream()
-            .filter(
-                line ->
-                    all.stream()
-                        .anyMatch(
-                            other ->
-                                other.is(TRY_FAILED)
-                                    && other.field("request").equals(line.field("request"))
-                                    && other.field("try").equals(line.field("try"))))
-            .count();
+    Set<String> failures =
+        all.stream()
+            .filter(line -> line.is(TRY_FAILED))
+            .map(RequestStory::tryOf)
+            .collect(Collectors.toSet());
+    long failed = sent.stream().map(RequestStory::tryOf).filter(failures::contains).count();
     found.add(
         failed + " of " + sent.size() + " tries of other requests at " + server + " failed too.");
   }
--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -51,7 +51,6 @@
   final PlatformStandIn platform;
   final FaultProxy platformProxy;
   final Path logs = makeFolder();
-  private final Path data = makeFolder();
   private final String network = "127." + (30 + FORK) + "." + NEXT_NETWORK.getAndIncrement() + ".";
   private int enginesStarted;
 
@@ -143,7 +142,7 @@
     Stream<String> roles =
         voters.contains(vm)
             ? Stream.of(
-                "dataFolder: " + dataFolder(vm), "operatorAddress: " + own + ":" + OPERATOR_PORT)
+                "dataFolder: " + vm.dataFolder(), "operatorAddress: " + own + ":" + OPERATOR_PORT)
             : Stream.of(
                 "callersAddress: " + own + ":" + CALLERS_PORT,
                 "readinessAddress: " + own + ":" + READINESS_PORT);
@@ -171,10 +170,6 @@
     }
   }
 
-  Path dataFolder(Vm voter) {
-    return data.resolve(voter.name);
-  }
-
   String operatorAddress(Vm voter) {
     return network + (number(voter) + BEHIND_PROXY) + ":" + OPERATOR_PORT;
   }
--- a/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
@@ -1,11 +1,8 @@
 package org.endivemux.integration;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
@@ -138,7 +135,7 @@
     if (random.nextInt(8) == 0 && !diskLost) {
       diskLost = true;
       story.add("DISK_LOST");
-      loseDisk(fleet.voters.get(random.nextInt(fleet.voters.size())));
+      fleet.voters.get(random.nextInt(fleet.voters.size())).loseDisk();
     } else {
       SoakFault fault = FAULTS.get(random.nextInt(FAULTS.size()));
       story.add(fault.name());
@@ -150,19 +147,6 @@
     }
   }
 
-  private void loseDisk(Vm voter) {
-    voter.kill();
-    try (Stream<Path> files = Files.walk(fleet.dataFolder(voter))) {
-      List<Path> deepestFirst = files.sorted(Comparator.reverseOrder()).toList();
-      for (Path file : deepestFirst) {
-        Files.delete(file);
-      }
-    } catch (IOException e) {
-      throw new AssertionError(e);
-    }
-    voter.start();
-  }
-
   private void heal() {
     ends.forEach(Runnable::run);
     ends.clear();
--- a/integration/src/test/java/org/endivemux/integration/SoakFault.java
+++ b/integration/src/test/java/org/endivemux/integration/SoakFault.java
@@ -16,7 +16,7 @@
   VOTER_KILLED((fleet, random) -> kill(any(fleet.voters, random))),
   ALL_VOTERS_KILLED((fleet, random) -> killAll(fleet.voters)),
   VM_FROZEN((fleet, random) -> freeze(any(fleet.vms(), random))),
-  DISK_FULL((fleet, random) -> fillDisk(fleet, any(fleet.voters, random))),
+  DISK_FULL((fleet, random) -> fillDisk(any(fleet.voters, random))),
   PEERS_SILENT((fleet, random) -> mode(any(fleet.peerProxies, random), FaultProxy.Mode.SILENT)),
   PEERS_ONE_WAY(SoakFault::silenceOneWay),
   PEERS_CUT((fleet, random) -> mode(any(fleet.peerProxies, random), FaultProxy.Mode.CUT)),
@@ -99,9 +99,9 @@
     };
   }
 
-  private static Runnable fillDisk(GatewayFleet fleet, Vm voter) {
+  private static Runnable fillDisk(Vm voter) {
     voter.kill();
-    voter.startWithFilesUpTo(kilobytes(fleet.dataFolder(voter).resolve("log")) + 2);
+    voter.startWithFilesUpTo(kilobytes(voter.dataFolder().resolve("log")) + 2);
     return () -> {
       voter.kill();
       voter.start();
