Let a caller read the refusal of a body that is too long

Cause: entry and gateway refused as soon as the limit was exceeded. A connection that is closed while its peer still sends is reset, and the reset destroys the response before the peer has read it. Ruled out: load; a caller that sends slowly shows it each time. Test: RefusedBodyTest, both cases red before (connection reset by peer), green after.

--- a/entry/src/main/java/org/endivemux/entry/Exchange.java
+++ b/entry/src/main/java/org/endivemux/entry/Exchange.java
@@ -53,13 +53,9 @@
     return Optional.ofNullable(request.requestHeaders().get(name));
   }
 
-  /** Reads the body; fails with a refusal as soon as it exceeds the limit. */
+  /** Reads the body; fails with a refusal if it exceeds the limit. */
   Mono<byte[]> body(int limit) {
-    long declaredLength = request.requestHeaders().getInt(HttpHeaderNames.CONTENT_LENGTH, 0);
-    if (declaredLength > limit) {
-      return Mono.error(new RefusedException(Reason.BODY_TOO_LARGE));
-    }
-    return BoundedBytes.collect(
+    return BoundedBytes.collectOrDiscard(
         request.receive().asByteArray(), limit, () -> new RefusedException(Reason.BODY_TOO_LARGE));
   }
 
@@ -90,8 +86,11 @@
     if (refused.reason() == Reason.DRAINING || refused.reason() == Reason.BODY_TOO_LARGE) {
       response.header(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    return json(
-        HttpResponseStatus.valueOf(refused.reason().status()).code(), ErrorBody.of(refused, id));
+    return BoundedBytes.discard(request.receive().asByteArray())
+        .then(
+            json(
+                HttpResponseStatus.valueOf(refused.reason().status()).code(),
+                ErrorBody.of(refused, id)));
   }
 
   private RefusedException asRefusal(Throwable error) {
--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -182,6 +182,10 @@
     return network + (number(entry) + REAL_ADDRESS_OFFSET) + ":" + CALLERS_PORT;
   }
 
+  InetSocketAddress callersSocket(Vm entry) {
+    return at(number(entry) + REAL_ADDRESS_OFFSET, CALLERS_PORT);
+  }
+
   /** Starts all VMs, stores a first configuration and returns once every entry is ready. */
   void start() {
     vms().forEach(Vm::start);
--- a/integration/src/test/java/org/endivemux/integration/RawCall.java
+++ b/integration/src/test/java/org/endivemux/integration/RawCall.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -35,9 +36,13 @@
   }
 
   private static RawCall send(Vm vm, String text) {
+    return send(new InetSocketAddress(InetAddress.getLoopbackAddress(), vm.httpPort), text);
+  }
+
+  /** Connects to an address and sends the given text. */
+  static RawCall send(InetSocketAddress address, String text) {
     try {
-      Socket socket = new Socket(InetAddress.getLoopbackAddress(), vm.httpPort);
-      RawCall call = new RawCall(socket);
+      RawCall call = new RawCall(new Socket(address.getAddress(), address.getPort()));
       call.write(text);
       return call;
     } catch (IOException e) {
--- /dev/null
+++ b/integration/src/test/java/org/endivemux/integration/RefusedBodyTest.java
@@ -0,0 +1,55 @@
+package org.endivemux.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import org.endivemux.platform.standin.CallerStandIn;
+
+/** Tests that a caller can read a refusal although it was still sending the body. */
+final class RefusedBodyTest {
+  private static final String PIECE = "x".repeat(1 << 16);
+  private static final long PAUSE_MILLIS = 5;
+
+  @Example
+  void entryRefusesABodyThatExceedsTheLimitAfterReadingIt() {
+    try (Cluster cluster = Cluster.started(1, 0)) {
+      String key = cluster.key("eggs");
+      InetSocketAddress address =
+          new InetSocketAddress(InetAddress.getLoopbackAddress(), cluster.vms.get(0).httpPort);
+      String head =
+          "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\n";
+      assertThat(refusalAfter(address, head, 48)).startsWith("HTTP/1.1 413 ");
+    }
+  }
+
+  @Example
+  void gatewayRefusesABodyThatExceedsTheLimitAfterReadingIt() {
+    try (GatewayFleet fleet = new GatewayFleet(1, 2)) {
+      fleet.start();
+      String head = CallerStandIn.rawUploadHead("long-body");
+      InetSocketAddress address = fleet.callersSocket(fleet.entries.get(0));
+      assertThat(refusalAfter(address, head, 96)).startsWith("HTTP/1.1 413 ");
+    }
+  }
+
+  /** Sends a body in pieces and returns the response; the refusal is due before the last piece. */
+  private static String refusalAfter(InetSocketAddress address, String head, int pieces) {
+    int length = pieces * PIECE.length();
+    try (RawCall call = RawCall.send(address, head + "Content-Length: " + length + "\r\n\r\n")) {
+      IntStream.range(0, pieces).forEach(i -> writeAfterPause(call));
+      return call.readUntil("\r\n\r\n");
+    }
+  }
+
+  private static void writeAfterPause(RawCall call) {
+    try {
+      Thread.sleep(PAUSE_MILLIS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    call.write(PIECE);
+  }
+}
--- a/wire/src/main/java/org/endivemux/wire/BoundedBytes.java
+++ b/wire/src/main/java/org/endivemux/wire/BoundedBytes.java
@@ -1,12 +1,27 @@
 package org.endivemux.wire;
 
 import java.io.ByteArrayOutputStream;
+import java.time.Duration;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
-/** Collects a body that arrives in chunks, up to a size limit. Stateless and thread-safe. */
+/**
+ * Collects a body that arrives in chunks, up to a size limit.
+ *
+ * <p>Invariant: at most the limit is held in memory, whatever the peer sends. Stateless and
+ * thread-safe.
+ */
 public final class BoundedBytes {
+  /**
+   * How much of an oversized body is read and discarded. A connection that is closed while the peer
+   * still sends is reset, which can destroy the response before the peer has read it.
+   */
+  private static final long MAX_DISCARDED_BYTES = 64L << 20;
+
+  private static final Duration MAX_DISCARD_TIME = Duration.ofSeconds(5);
+
   private BoundedBytes() {}
 
   /** Returns the whole body; fails as soon as more than {@code limit} bytes have arrived. */
@@ -24,4 +39,64 @@
             })
         .map(ByteArrayOutputStream::toByteArray);
   }
+
+  /**
+   * Returns the whole body. If it is longer than {@code limit}, reads and discards the rest, so
+   * that the sender can read a response afterwards, and then fails.
+   */
+  public static Mono<byte[]> collectOrDiscard(
+      Flux<byte[]> parts, int limit, Supplier<? extends RuntimeException> tooLong) {
+    return Mono.defer(
+        () -> {
+          Collector collector = new Collector(limit);
+          return parts
+              .takeUntil(collector::addAndTestExcess)
+              .takeUntilOther(collector.discardTimeout())
+              .then(Mono.defer(() -> collector.result(tooLong)));
+        });
+  }
+
+  /** Reads and discards what arrives of a body, for a bounded time and number of bytes. */
+  public static Mono<Void> discard(Flux<byte[]> parts) {
+    return Mono.defer(
+        () -> {
+          Collector collector = new Collector(0);
+          return parts
+              .takeUntil(collector::addAndTestExcess)
+              .takeUntilOther(Mono.delay(MAX_DISCARD_TIME))
+              .then();
+        });
+  }
+
+  /** Collects one body. Confined to the connection's event loop. */
+  private static final class Collector {
+    private final int limit;
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final Sinks.Empty<Void> limitExceeded = Sinks.empty();
+    private long bytes;
+
+    Collector(int limit) {
+      this.limit = limit;
+    }
+
+    /** Adds a part; returns whether reading must stop because too much has been discarded. */
+    boolean addAndTestExcess(byte[] part) {
+      bytes += part.length;
+      if (bytes <= limit) {
+        out.writeBytes(part);
+      } else {
+        out.reset();
+        var unused = limitExceeded.tryEmitEmpty();
+      }
+      return bytes > limit + MAX_DISCARDED_BYTES;
+    }
+
+    Mono<Long> discardTimeout() {
+      return limitExceeded.asMono().then(Mono.delay(MAX_DISCARD_TIME));
+    }
+
+    Mono<byte[]> result(Supplier<? extends RuntimeException> tooLong) {
+      return bytes > limit ? Mono.error(tooLong.get()) : Mono.just(out.toByteArray());
+    }
+  }
 }
