Commit usage as soon as it arises, apart from calls to the platform

Cause: the leader kept usage totals in memory until a run of its periodic tasks, which also call the platform: a platform that did not answer delayed the commit by up to 10 s, and a poll carried totals only after the long poll before it had ended. When the leader served chats itself and was killed, both copies were lost. Change: an entry interrupts its long poll when usage arises; the reply to a poll with usage is sent after the commit. The rate is bounded by the number of entries. UsageInbox is gone. Left: what a killed entry counted in the milliseconds before the commit.

--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -20,13 +20,20 @@
  *
  * <p>Invariants: the revision never decreases; the view counts as fresh for {@link
  * EntryRegistry#FRESHNESS} after the sending of the latest poll that a leader with a lease has
- * answered. Thread-safe.
+ * answered; usage is sent as soon as it arises, at most once per {@link #USAGE_INTERVAL_PER_ENTRY}
+ * and entry of the system. Thread-safe.
  */
 public final class ViewFollower implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration POLL_TIMEOUT = Duration.ofMillis(1500);
   private static final Duration POLL_PAUSE = Duration.ofMillis(20);
 
+  /**
+   * Shortest interval between two polls with usage, for each entry of the system; it bounds the
+   * rate at which the leader has to commit usage.
+   */
+  private static final Duration USAGE_INTERVAL_PER_ENTRY = Duration.ofMillis(2);
+
   private final ControlClient client;
   private final Supplier<EntryInfo> self;
   private final UsageLedger usage;
@@ -36,6 +43,7 @@
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private volatile State state = new State(EntryView.empty(), List.of(), 0, 0, false);
   private volatile Disposable polling = () -> {};
+  private volatile long usageDueAtNanos;
 
   public ViewFollower(
       ControlClient client,
@@ -49,6 +57,7 @@
     this.gateway = gateway;
     this.clocks = clocks;
     this.guard = clocks.guard();
+    this.usageDueAtNanos = clocks.nanos();
   }
 
   /** Starts polling; returns at once. */
@@ -69,7 +78,18 @@
 
   private Mono<ControlReply> pollOnce() {
     State before = state;
-    UsageLedger.Batch batch = usage.unacknowledged();
+    Duration untilUsage = Duration.ofNanos(Math.max(0, usageDueAtNanos - clocks.nanos()));
+    UsageLedger.Batch batch =
+        untilUsage.isZero() ? usage.unacknowledged() : UsageLedger.Batch.none();
+    if (batch.isEmpty()) {
+      return poll(before, batch)
+          .takeUntilOther(usage.awaitUnacknowledged().delayElement(untilUsage));
+    }
+    usageDueAtNanos = clocks.nanos() + before.entries().size() * USAGE_INTERVAL_PER_ENTRY.toNanos();
+    return poll(before, batch);
+  }
+
+  private Mono<ControlReply> poll(State before, UsageLedger.Batch batch) {
     return Mono.defer(
             () -> {
               long sentAtNanos = clocks.nanos();
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -30,7 +30,8 @@
    *
    * @param revision revision of the entry's view
    * @param entriesNumber number of the entry's list of entries
-   * @param usage running totals that the leader has not acknowledged yet
+   * @param usage running totals that the leader has not committed yet; the reply is sent once they
+   *     are
    * @param gateway the gateway's part of the poll
    */
   record Poll(
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -38,7 +38,6 @@
   private final VmId self;
   private final Voter voter;
   private final EntryRegistry registry;
-  private final UsageInbox usage;
   private final Clocks clocks;
   private final ServerDirectory servers;
   private final WindowCounts counts;
@@ -50,7 +49,6 @@
       VmId self,
       Voter voter,
       EntryRegistry registry,
-      UsageInbox usage,
       Clocks clocks,
       ServerDirectory servers,
       WindowCounts counts,
@@ -59,7 +57,6 @@
     this.self = self;
     this.voter = voter;
     this.registry = registry;
-    this.usage = usage;
     this.clocks = clocks;
     this.servers = servers;
     this.counts = counts;
@@ -131,8 +128,18 @@
     Optional<Incarnation> replaced =
         registry.recordPoll(poll.entry(), poll.revision(), clocks.nanos());
     replaced.ifPresent(gone -> abandonClaims(poll.entry().vm(), gone));
-    usage.add(poll.entry(), poll.usage());
     recordGatewayPoll(poll);
+    return poll.usage().isEmpty()
+        ? answerPoll(poll)
+        : submit(recordUsage(poll)).then(read(state -> news(state, poll)));
+  }
+
+  /** The usage is committed before the reply acknowledges it, so no leader can lose it. */
+  private static Command recordUsage(ControlRequest.Poll poll) {
+    return new Command.RecordUsage(poll.entry().vm(), poll.entry().incarnation(), poll.usage());
+  }
+
+  private Mono<ControlReply> answerPoll(ControlRequest.Poll poll) {
     boolean upToDate =
         poll.revision() >= voter.publishedRevision()
             && poll.entriesNumber() == registry.listNumber()
--- a/control/src/main/java/org/endivemux/control/voter/LeaderTasks.java
+++ b/control/src/main/java/org/endivemux/control/voter/LeaderTasks.java
@@ -17,8 +17,8 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Runs the leader's tasks: commits usage, sends orders, reports usage windows, and marks the
- * backend servers that the platform lists as leaving.
+ * Runs the leader's tasks: sends orders, reports usage windows, and marks the backend servers that
+ * the platform lists as leaving.
  *
  * <p>Invariants: an order is committed as an intent before it is sent and a window's figures before
  * they are reported; a new leader calls the platform only after the previous lease and the longest
@@ -34,7 +34,6 @@
 
   private final Voter voter;
   private final ControlService service;
-  private final UsageInbox usage;
   private final Optional<PlatformClient> platform;
   private final Clocks clocks;
   private final Duration window;
@@ -48,14 +47,12 @@
   public LeaderTasks(
       Voter voter,
       ControlService service,
-      UsageInbox usage,
       Optional<PlatformClient> platform,
       Clocks clocks,
       Duration window,
       MetricRegistry metrics) {
     this.voter = voter;
     this.service = service;
-    this.usage = usage;
     this.platform = platform;
     this.clocks = clocks;
     this.window = window;
@@ -74,8 +71,7 @@
     }
     updateTerm();
     service.removeSilentEntries();
-    Mono.when(commitUsage())
-        .then(Mono.defer(this::closeWindow))
+    Mono.defer(this::closeWindow)
         .then(Mono.defer(this::callPlatform))
         .timeout(RUN_TIMEOUT)
         .doFinally(signal -> busy.set(false))
@@ -96,11 +92,6 @@
     return clocks.nanos() - leaderSince > TAKEOVER_DELAY.toNanos();
   }
 
-  private Flux<Object> commitUsage() {
-    return Flux.fromIterable(usage.drain())
-        .flatMap(command -> Mono.fromFuture(voter.submit(command)));
-  }
-
   private Mono<Void> closeWindow() {
     if (clocks.nanos() - windowOpenedAt < window.toNanos()) {
       return Mono.empty();
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -25,7 +25,6 @@
 import org.endivemux.control.voter.PlatformClient;
 import org.endivemux.control.voter.ServerDirectory;
 import org.endivemux.control.voter.TrueTime;
-import org.endivemux.control.voter.UsageInbox;
 import org.endivemux.control.voter.Voter;
 import org.endivemux.control.voter.WindowCounts;
 import org.endivemux.entry.Dispatcher;
@@ -96,7 +95,6 @@
             .map(folder -> DataFolder.open(folder, new FullDiskRetry(metrics)))
             .map(this::voter);
     EntryRegistry registry = new EntryRegistry();
-    UsageInbox inbox = new UsageInbox();
     this.service =
         voter.map(
             it ->
@@ -104,13 +102,12 @@
                     settings.vm(),
                     it,
                     registry,
-                    inbox,
                     clocks,
                     new ServerDirectory(),
                     new WindowCounts(),
                     new TrueTime(clocks),
                     new FleetLoad()));
-    this.leaderTasks = service.map(it -> leaderTasks(it, inbox));
+    this.leaderTasks = service.map(it -> leaderTasks(it));
     Map<VmId, ControlClient.VoterClient> voterClients = voterClients();
     ControlClient control = new ControlClient(voterClients::get, settings.voters().keySet());
     UsageLedger usage = new UsageLedger();
@@ -170,12 +167,11 @@
         .ifPresent(link -> link.send(PeerPayload.encode(PeerPayload.CONSENSUS, envelope)));
   }
 
-  private LeaderTasks leaderTasks(ControlService controlService, UsageInbox inbox) {
+  private LeaderTasks leaderTasks(ControlService controlService) {
     Voter own = voter.orElseThrow();
     Optional<PlatformClient> platform =
         settings.platform().map(address -> new PlatformClient(address, own::holdsLease));
-    return new LeaderTasks(
-        own, controlService, inbox, platform, clocks, settings.usageWindow(), metrics);
+    return new LeaderTasks(own, controlService, platform, clocks, settings.usageWindow(), metrics);
   }
 
   private Map<VmId, ControlClient.VoterClient> voterClients() {
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
@@ -14,7 +14,6 @@
 import org.endivemux.control.voter.PlannedCapacity;
 import org.endivemux.control.voter.ServerDirectory;
 import org.endivemux.control.voter.TrueTime;
-import org.endivemux.control.voter.UsageInbox;
 import org.endivemux.control.voter.Voter;
 import org.endivemux.control.voter.WindowCounts;
 import org.endivemux.model.VmId;
@@ -53,15 +52,7 @@
     FleetLoad loads = new FleetLoad();
     this.service =
         new ControlService(
-            self,
-            voter,
-            new EntryRegistry(),
-            new UsageInbox(),
-            clocks,
-            directory,
-            counts,
-            time,
-            loads);
+            self, voter, new EntryRegistry(), clocks, directory, counts, time, loads);
     this.leaderTasks =
         new GatewayLeaderTasks(
             voter,
--- a/integration/src/test/java/org/endivemux/integration/ControlTest.java
+++ b/integration/src/test/java/org/endivemux/integration/ControlTest.java
@@ -213,6 +213,22 @@
     }
   }
 
+  @Example
+  void usageOfAKilledLeaderIsReportedAlthoughThePlatformWasSilent() {
+    try (Cluster cluster = Cluster.started()) {
+      String key = cluster.key("eggs");
+      cluster.platformProxy.mode(Mode.SILENT);
+      Vm leader = cluster.leader();
+      Vm survivor = cluster.other(leader);
+      IntStream.range(0, 5).forEach(i -> Cluster.chat(leader, key, 1, false));
+      IntStream.range(0, 10).forEach(i -> Cluster.chat(survivor, key, 1, false));
+      leader.restart();
+      cluster.platformProxy.mode(Mode.PASS);
+      cluster.platformProxy.resetPresentConnections();
+      Await.until("all requests are reported", () -> cluster.platform.reportedRequests() == 15);
+    }
+  }
+
   @Example
   void manyChangesSurviveARestartFromASnapshot() {
     try (Cluster cluster = Cluster.started()) {
