Keep a fifth of the whole retry limit unallocated, not only of its fixed part

Cause: entries that restart forget the retries they have sent, and requests that leave the window take part of the limit with them. Change: entries allocate 0.8 of the share of requests too. Test: restartedEntriesDoNotFloodAFailingService (all restart twice in a window), red before, green after.

--- a/routing/src/main/java/org/endivemux/routing/fleet/RetryAllowance.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/RetryAllowance.java
@@ -6,13 +6,16 @@
  * Limits one entry's part of the retries that all entries together may send to a service.
  *
  * <p>Invariant: within any window the entry retries at most a share of its own requests plus its
- * part of a fixed allowance, so that the sum over all entries stays within the shared limit.
- * Confined to one thread.
+ * part of a fixed allowance, so that the sum over all entries stays within the shared limit, also
+ * after some of them have restarted. Confined to one thread.
  */
 public final class RetryAllowance {
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
-  /** Part of the fixed allowance that is allocated; the rest covers entries not yet known. */
+  /**
+   * Part of the limit that is allocated. The rest covers what entries cannot know of each other:
+   * entries that joined just now, and retries of a process that has restarted since.
+   */
   private static final double ALLOCATED_SHARE = 0.8;
 
   private final double ratio;
@@ -39,7 +42,7 @@
   /** Takes one retry; returns false when none is left. */
   public boolean tryRetry(int entries, long now) {
     int slot = slot(now);
-    double allowed = ratio * sum(requests) + ALLOCATED_SHARE * slack / Math.max(1, entries);
+    double allowed = ALLOCATED_SHARE * (ratio * sum(requests) + slack / Math.max(1, entries));
     if (sum(retries) + 1 > allowed) {
       return false;
     }
--- a/routing/src/test/java/org/endivemux/routing/fleet/RetryAllowanceTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/RetryAllowanceTest.java
@@ -37,6 +37,38 @@
                 retries.add(now);
               }
             });
+    assertWithinLimit(requests, retries);
+  }
+
+  /** As above, and all entries restart twice in a window and forget what they have sent. */
+  @Property(tries = 20, seed = "5")
+  void restartedEntriesDoNotFloodAFailingService(@ForAll long seed) {
+    Random random = new Random(seed);
+    List<RetryAllowance> entries =
+        new ArrayList<>(
+            Stream.generate(() -> new RetryAllowance(RATIO, WINDOW, SLACK))
+                .limit(ENTRIES)
+                .toList());
+    List<Long> requests = new ArrayList<>();
+    List<Long> retries = new ArrayList<>();
+    IntStream.range(0, 4000)
+        .forEach(
+            i -> {
+              long now = 50 * SECOND + i * SECOND / 100;
+              if (i % (WINDOW * 100 / 2) == 0) {
+                entries.replaceAll(entry -> new RetryAllowance(RATIO, WINDOW, SLACK));
+              }
+              RetryAllowance entry = entries.get(random.nextInt(ENTRIES));
+              entry.recordRequest(now);
+              requests.add(now);
+              if (entry.tryRetry(ENTRIES, now)) {
+                retries.add(now);
+              }
+            });
+    assertWithinLimit(requests, retries);
+  }
+
+  private static void assertWithinLimit(List<Long> requests, List<Long> retries) {
     IntStream.range(0, 40)
         .mapToLong(second -> (50L + second) * SECOND)
         .forEach(
