Name a different subset of a large fleet at each entry

Cause: an answer to callers holds at most 64 addresses, and each entry named the first 64 of the same list: in a fleet of 91, 27 entries never got a caller and the others carried their load. Change: each entry names the 64 that rank highest for it by rendezvous hashing. The hash moves out of PreferredServers, which uses it for prompt parts as before. Test: EntryAddressesTest; the fleet of 91 could not pass before, as 27 entries were never named.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -18,7 +18,6 @@
 import org.endivemux.gateway.ServerPool;
 import org.endivemux.gateway.ServiceRetryAllowances;
 import org.endivemux.model.EntryInfo;
-import org.endivemux.model.FailureDomain;
 import org.endivemux.model.Incarnation;
 import org.endivemux.model.VmId;
 import org.endivemux.platform.CallerEndpoint;
@@ -26,6 +25,7 @@
 import org.endivemux.platform.HttpBackends;
 import org.endivemux.platform.PlatformApi;
 import org.endivemux.routing.Cells;
+import org.endivemux.routing.EntryAddresses;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.wire.PeerLink;
@@ -56,6 +56,9 @@
 
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(50);
 
+  /** Largest number of addresses that callers accept in one answer. */
+  private static final int MAX_NAMED_ENTRIES = 64;
+
   private final GatewaySettings settings;
   private final ViewFollower follower;
   private final Gateway gateway;
@@ -141,13 +144,9 @@
         isReady());
   }
 
-  private List<String> addresses(FailureDomain domain) {
+  private List<String> addresses() {
     List<String> serving =
-        follower.entries().stream()
-            .filter(EntryInfo::serving)
-            .map(EntryInfo::httpAddress)
-            .limit(64)
-            .toList();
+        EntryAddresses.select(settings.peerId(), follower.entries(), MAX_NAMED_ENTRIES);
     return serving.isEmpty() && isReady()
         ? List.of(settings.callersAddress().orElseThrow())
         : serving;
