--- a/daemon/src/main/java/org/endivemux/daemon/BoundedLogHandler.java
+++ b/daemon/src/main/java/org/endivemux/daemon/BoundedLogHandler.java
@@ -3,7 +3,6 @@
 import java.io.PrintStream;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -19,7 +18,6 @@
   static final int LINES_PER_SECOND = 300;
   static final int QUEUE_CAPACITY = 2000;
   private static final long NANOS_PER_SECOND = 1_000_000_000L;
-  private static final long POLL_MILLIS = 200;
 
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUE_CAPACITY);
   private final PrintStream out;
@@ -81,11 +79,8 @@
   private void write() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        String line = lines.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
-        if (line != null) {
-          out.print(line);
-          drain();
-        }
+        out.print(lines.take());
+        drain();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DigestExchange.java
@@ -29,6 +29,9 @@
 final class DigestExchange implements AutoCloseable {
   private static final Duration SEND_INTERVAL = Duration.ofMillis(50);
 
+  /** A fleet that is too large for an exchange between entries is looked at this rarely. */
+  private static final Duration PEER_CHECK_INTERVAL = Duration.ofSeconds(1);
+
   /**
    * An unchanged digest is sent again only once in this many intervals, and not at all while
    * nothing is in flight.
@@ -63,10 +66,24 @@
   }
 
   DigestExchange start() {
-    subscription = Flux.interval(SEND_INTERVAL).onBackpressureDrop().subscribe(this::sendIfDue);
+    subscription =
+        Flux.defer(() -> hasPeers() ? sendWhilePeersRemain() : Flux.<Long>empty())
+            .repeatWhen(ends -> ends.delayElements(PEER_CHECK_INTERVAL))
+            .subscribe();
     return this;
   }
 
+  private boolean hasPeers() {
+    return !entries.get().isEmpty() || !links.isEmpty();
+  }
+
+  private Flux<Long> sendWhilePeersRemain() {
+    return Flux.interval(SEND_INTERVAL)
+        .onBackpressureDrop()
+        .takeWhile(interval -> hasPeers())
+        .doOnNext(this::sendIfDue);
+  }
+
   private void sendIfDue(long interval) {
     long available =
         byteBudget.updateAndGet(
@@ -74,9 +91,6 @@
     if (available <= 0) {
       return;
     }
-    if (entries.get().isEmpty() && links.isEmpty()) {
-      return;
-    }
     PeerDigest digest = new PeerDigest(loads.digest());
     boolean isUnchanged = digest.equals(lastSent);
     boolean isRepeatUnneeded =
--- a/wire/src/main/java/org/endivemux/wire/PeerLink.java
+++ b/wire/src/main/java/org/endivemux/wire/PeerLink.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -20,9 +21,9 @@
 /**
  * Keeps one link to another VM open.
  *
- * <p>Invariants: heartbeats are sent in both directions; a link without a frame for {@link
- * LinkTiming#idleTimeout} is dropped and opened again; requests in flight on a dropped link fail
- * immediately. Thread-safe.
+ * <p>Invariants: a heartbeat is sent and answered in each interval without a response; a link
+ * without a frame for {@link LinkTiming#idleTimeout} is dropped and opened again; requests in
+ * flight on a dropped link fail immediately. Thread-safe.
  */
 public final class PeerLink implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -34,6 +35,7 @@
   private final TcpClient client;
   private final AtomicLong nextCorrelation = new AtomicLong();
   private final Map<Long, Sinks.One<byte[]>> pending = new ConcurrentHashMap<>();
+  private final AtomicBoolean answeredSinceTick = new AtomicBoolean();
   private volatile Channel channel;
   private volatile boolean closed;
   private volatile Disposable connecting = () -> {};
@@ -89,7 +91,7 @@
     Disposable heartbeats =
         Flux.interval(timing.heartbeatInterval())
             .onBackpressureDrop()
-            .subscribe(tick -> Frames.write(opened, metrics, Frame.of(Frame.Type.PING)));
+            .subscribe(tick -> pingIfUnanswered(opened));
     connection.onDispose(
         () -> {
           heartbeats.dispose();
@@ -100,6 +102,13 @@
     }
   }
 
+  /** A response proves that the link works, so that a busy link needs no heartbeat. */
+  private void pingIfUnanswered(Channel opened) {
+    if (!answeredSinceTick.getAndSet(false)) {
+      Frames.write(opened, metrics, Frame.of(Frame.Type.PING));
+    }
+  }
+
   private void onDisconnected() {
     channel = null;
     pending
@@ -114,6 +123,7 @@
     if (frame.type() != Frame.Type.RESPONSE && frame.type() != Frame.Type.FAILURE) {
       return;
     }
+    answeredSinceTick.set(true);
     Sinks.One<byte[]> sink = pending.remove(frame.correlation());
     if (sink == null) {
       return;
