Learn the prefill rate of engines, and keep shared parts on two of them in a large fleet

Change: the rate follows the median of first events, for each service. In a large fleet a part has two preferred engines; one more is sampled from the own group and one from all.

--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -106,7 +106,7 @@
   /** Records the first event of a response. */
   void answered(RequestId id) {
     synchronized (lock) {
-      scheduler.firstEventReceived(id);
+      scheduler.firstEventReceived(id, nanos.getAsLong());
     }
   }
 
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
@@ -9,8 +9,6 @@
  * <p>Pure, immutable and thread-safe.
  */
 final class FleetCost {
-  private static final double PREFILL_TOKENS_PER_MILLI = 125;
-
   /** Slowdown of all requests in an engine's batch caused by each request in it. */
   private static final double MILLIS_PER_BATCHED_REQUEST = 8;
 
@@ -31,13 +29,18 @@
 
   /**
    * @param isPreferred whether all entries prefer this server for the job's shared prompt parts
+   * @param prefillRate rate at which engines of the job's service prefill prompts
    */
-  double millis(FleetJob job, ServerLoad load, boolean isPreferred, long now) {
+  double millis(
+      FleetJob job, ServerLoad load, boolean isPreferred, PrefillRate prefillRate, long now) {
     double link = load.server().failureDomain().equals(domain) ? 0 : CROSS_DOMAIN_MILLIS;
-    return link + load.errorShare() * ERROR_PENALTY_MILLIS + work(job, load, isPreferred, now);
+    return link
+        + load.errorShare() * ERROR_PENALTY_MILLIS
+        + work(job, load, isPreferred, prefillRate, now);
   }
 
-  private static double work(FleetJob job, ServerLoad load, boolean isPreferred, long now) {
+  private static double work(
+      FleetJob job, ServerLoad load, boolean isPreferred, PrefillRate prefillRate, long now) {
     int total = load.total(now);
     if (job.prompt().tokens() == 0) {
       return total * MILLIS_PER_USED_SLOT;
@@ -46,6 +49,6 @@
     int cached = isPreferred ? shared : Math.min(shared, load.cachedTokens(job.prompt()));
     double repeated = (shared - cached) * REPEATED_PREFILL_FACTOR;
     return total * MILLIS_PER_BATCHED_REQUEST
-        + (load.pendingPrefillTokens(now) + repeated) / PREFILL_TOKENS_PER_MILLI;
+        + (load.pendingPrefillTokens(now) + repeated) / prefillRate.tokensPerMilli();
   }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -29,7 +29,7 @@
  * is leaving or that the job avoids gets nothing, and one in backoff gets nothing while another has
  * capacity; waiting jobs are bound by urgency and then by arrival. In a fleet of many entries,
  * whose load is known as sums that are some hundred milliseconds old, only the job's preferred
- * server and a few servers sampled by its id are compared. Not thread-safe: one caller at a time.
+ * servers and a few servers sampled by its id are compared. Not thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private static final int DEFAULT_SLOTS = 8;
@@ -40,8 +40,17 @@
   /** Copying fewer tokens from another engine takes longer than their prefill. */
   private static final int MIN_COPIED_TOKENS = 384;
 
-  /** Servers sampled from the job's own group, and again from all, in a large fleet. */
-  private static final int SAMPLES_PER_GROUP = 2;
+  /**
+   * Servers sampled from the job's own group, and again from all, in a large fleet. Comparing more
+   * of them lets many entries select the same one at the same moment.
+   */
+  private static final int SAMPLES_PER_GROUP = 1;
+
+  /**
+   * Engines of a large fleet that hold the same shared prompt part. Each further one reads the part
+   * once more, and fewer would be too few for a part that many requests use.
+   */
+  private static final int REPLICAS_PER_PART = 2;
 
   /**
    * Multiple of its slots that an engine of a large fleet is sent. Otherwise jobs that wait at many
@@ -64,6 +73,7 @@
   private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
   private final Map<RequestId, ServerLoad> running = new HashMap<>();
+  private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
   private LongPromptServers longPromptServers = new LongPromptServers(List.of());
   private long aggregateLoadAt = Long.MIN_VALUE / 2;
 
@@ -135,7 +145,7 @@
       if (hasCapacity) {
         jobs.remove();
         Optional<GatewayServer> copyFrom = copyFrom(job, chosen.get());
-        chosen.get().started(job);
+        chosen.get().started(job, now);
         running.put(job.id(), chosen.get());
         bound.add(new Binding(job, chosen.get().server(), copyFrom));
       }
@@ -150,18 +160,30 @@
             .toList();
     List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
     List<ServerLoad> candidates = available.isEmpty() ? open : available;
-    Optional<ServerLoad> preferred =
-        job.prompt()
-            .sessionPart()
-            .flatMap(part -> PreferredServers.preferredServerOf(part, ownGroup(job, candidates)));
+    List<ServerLoad> preferred = preferredServers(job, candidates, now);
     return Stream.concat(preferred.stream(), sampledCandidates(job, candidates, now))
         .min(
             Comparator.comparingDouble(
                 load ->
-                    cost.millis(job, load, preferred.filter(load::equals).isPresent(), now)
+                    cost.millis(
+                            job, load, preferred.contains(load), prefillRate(job.service()), now)
                         + (isOfOwnGroup(job, load) ? 0 : OTHER_GROUP_PENALTY_MILLIS)));
   }
 
+  private PrefillRate prefillRate(ServiceName service) {
+    return prefillRates.computeIfAbsent(service, name -> new PrefillRate());
+  }
+
+  private List<ServerLoad> preferredServers(FleetJob job, List<ServerLoad> candidates, long now) {
+    return job.prompt()
+        .sessionPart()
+        .map(
+            part ->
+                PreferredServers.preferredServersOf(
+                    part, ownGroup(job, candidates), isLarge(now) ? REPLICAS_PER_PART : 1))
+        .orElse(List.of());
+  }
+
   /**
    * Returns all candidates of a small fleet and a sample of a large one. The load of a large fleet
    * is known with a delay, so entries that all select the apparently best server would overload it.
@@ -200,7 +222,11 @@
     Optional<ServerLoad> best =
         others.stream().max(Comparator.comparingInt(load -> load.cachedTokens(job.prompt())));
     return best.filter(load -> load.cachedTokens(job.prompt()) > cached)
-        .or(() -> PreferredServers.preferredServerOf(session.get(), ownGroup(job, others)))
+        .or(
+            () ->
+                PreferredServers.preferredServersOf(session.get(), ownGroup(job, others), 1)
+                    .stream()
+                    .findFirst())
         .map(ServerLoad::server);
   }
 
@@ -226,8 +252,9 @@
   }
 
   /** Records the first event of a job's answer. */
-  public void firstEventReceived(RequestId id) {
-    Optional.ofNullable(running.get(id)).ifPresent(load -> load.firstEventReceived(id));
+  public void firstEventReceived(RequestId id, long now) {
+    Optional.ofNullable(running.get(id))
+        .ifPresent(load -> load.firstEventReceived(id, prefillRate(load.server().service()), now));
   }
 
   /** Records the end of a job's attempt; an unknown job is ignored. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/PreferredServers.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PreferredServers.java
@@ -1,21 +1,27 @@
 package org.endivemux.routing.fleet;
 
 import java.util.Collection;
-import java.util.Optional;
+import java.util.List;
 import org.endivemux.routing.RendezvousHash;
 
 /**
- * Selects the preferred backend server of each shared prompt part by rendezvous hashing.
+ * Selects the preferred backend servers of each shared prompt part by rendezvous hashing.
  *
- * <p>Invariant: entries that know the same servers select the same one without communicating, and a
- * change of the list moves only the parts that prefer an added or removed server. Stateless and
+ * <p>Invariant: entries that know the same servers select the same ones without communicating, and
+ * a change of the list moves only the parts that prefer an added or removed server. Stateless and
  * thread-safe.
  */
 final class PreferredServers {
   private PreferredServers() {}
 
-  static Optional<ServerLoad> preferredServerOf(PromptPart part, Collection<ServerLoad> servers) {
+  /** Returns at most {@code count} servers, the most preferred one first. */
+  static List<ServerLoad> preferredServersOf(
+      PromptPart part, Collection<ServerLoad> servers, int count) {
     return servers.stream()
-        .max(RendezvousHash.byRank(part.id(), load -> load.server().id().value()));
+        .sorted(
+            RendezvousHash.byRank(part.id(), (ServerLoad load) -> load.server().id().value())
+                .reversed())
+        .limit(count)
+        .toList();
   }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -115,17 +115,21 @@
     return errorShare;
   }
 
-  void started(FleetJob job) {
+  void started(FleetJob job, long now) {
     int uncached = Math.max(0, job.prompt().tokens() - cachedTokens(job.prompt()));
-    running.put(job.id(), new Running(uncached));
+    running.put(job.id(), new Running(uncached, pendingPrefillTokens(now) + uncached, now));
     pendingPrefillTokens += uncached;
     prefixCache.recordSent(job.prompt());
   }
 
   /** Records the first event of an answer, when the prefill is complete. */
-  void firstEventReceived(RequestId id) {
-    Running known = running.replace(id, new Running(0));
-    pendingPrefillTokens -= known == null ? 0 : known.pendingPrefillTokens();
+  void firstEventReceived(RequestId id, PrefillRate prefillRate, long now) {
+    Optional.ofNullable(running.replace(id, Running.PREFILLED))
+        .ifPresent(
+            known -> {
+              pendingPrefillTokens -= known.pendingPrefillTokens();
+              prefillRate.observe(known.tokensUntilFirstEvent(), now - known.startedAt());
+            });
   }
 
   void ended(RequestId id, AttemptResult end, long now) {
@@ -150,7 +154,14 @@
     failures++;
   }
 
-  private record Running(int pendingPrefillTokens) {}
+  /**
+   * Holds one own attempt.
+   *
+   * @param tokensUntilFirstEvent tokens of all attempts that were pending when this one started
+   */
+  private record Running(int pendingPrefillTokens, long tokensUntilFirstEvent, long startedAt) {
+    static final Running PREFILLED = new Running(0, 0, 0);
+  }
 
   /** Holds what peers have in flight; {@code at} is when the oldest digest arrived. */
   private record PeerLoad(int requests, long pendingPrefillTokens, long at) {
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
@@ -26,17 +26,37 @@
   private static final int STEP_MILLIS = 20;
   private static final int SLOTS = 12;
   private static final int QUEUE = 25;
-  private static final int PREFILL_TOKENS_PER_MILLI = 125;
   private static final double STEP_BASE_MILLIS = 3.27;
   private static final double STEP_MILLIS_PER_REQUEST = 0.0823;
 
   /** Relative decoding speed of a batch while the engine prefills a prompt. */
   private static final double SPEED_DURING_PREFILL = 0.2;
 
-  private static final int PROMPT_TOKENS = 6000;
-  private static final int ANSWER_TOKENS = 300;
-  private static final long MAX_WAIT_NANOS = 1100 * Fleet.MILLI;
-  private static final int SESSIONS = 400;
+  /** Part of an engine's memory that holds shared prompt parts. */
+  private static final int CACHED_TOKENS = 100_000;
+
+  /** Time that a request may wait at its entry, as a multiple of its target. */
+  private static final double MAX_WAIT_TARGETS = 0.75;
+
+  /**
+   * Describes the requests of a simulation and how fast engines read their prompts.
+   *
+   * @param sharedTokens tokens of the part that all requests of a session share
+   * @param ownTokens tokens of the rest of the prompt
+   * @param targetMillis time to the first event within which a request is on time
+   */
+  record Workload(
+      int sharedTokens,
+      int ownTokens,
+      int answerTokens,
+      int sessions,
+      int targetMillis,
+      double prefillTokensPerMilli) {
+    /** Month-end reports on engines that read prompts fast. */
+    static Workload reports() {
+      return new Workload(0, 6000, 300, 400, 1500, 125);
+    }
+  }
 
   /** Holds how entries exchange their load, and after how many rounds of 20 ms. */
   record LoadExchange(Mode mode, int everyRounds) {
@@ -49,10 +69,11 @@
   }
 
   /** Counts requests by how they ended. */
-  record Outcome(int requests, int rejected, int abandoned, int onTime) {}
+  record Outcome(int requests, int rejected, int abandoned, int onTime, int sharedPartReads) {}
 
   private final Random random;
   private final LoadExchange exchange;
+  private final Workload workload;
   private final List<FleetScheduler> entries = new ArrayList<>();
   private final Map<BackendServerId, Engine> engines = new HashMap<>();
   private final Map<RequestId, Request> requests = new HashMap<>();
@@ -61,9 +82,12 @@
   private int rejected;
   private int abandoned;
   private int onTime;
+  private int sharedPartReads;
 
-  FleetSimulation(int entryCount, int engineCount, LoadExchange exchange, long seed) {
+  FleetSimulation(
+      int entryCount, int engineCount, LoadExchange exchange, Workload workload, long seed) {
     this.random = new Random(seed);
+    this.workload = workload;
     this.exchange = exchange;
     List<GatewayServer> listed =
         IntStream.range(0, engineCount)
@@ -99,7 +123,7 @@
     int rounds = seconds * 1000 / STEP_MILLIS;
     IntStream.range(0, rounds)
         .forEach(round -> step(round, perSecond.applyAsInt(round * STEP_MILLIS / 1000)));
-    return new Outcome(created, rejected, abandoned, onTime);
+    return new Outcome(created, rejected, abandoned, onTime, sharedPartReads);
   }
 
   private void step(int round, int perSecond) {
@@ -119,12 +143,14 @@
     PromptShape prompt =
         new PromptShape(
             "m",
-            PROMPT_TOKENS,
-            ANSWER_TOKENS,
+            workload.sharedTokens() + workload.ownTokens(),
+            workload.answerTokens(),
             List.of(
-                new PromptPart("session" + random.nextInt(SESSIONS), 0),
-                new PromptPart("own" + created, PROMPT_TOKENS)));
-    Request request = new Request("r" + created++, entry, prompt, now, Set.of());
+                new PromptPart(
+                    "session" + random.nextInt(workload.sessions()), workload.sharedTokens()),
+                new PromptPart("own" + created, workload.ownTokens())));
+    Request request =
+        new Request("r" + created++, entry, prompt, now, workload.answerTokens(), Set.of());
     offer(request);
   }
 
@@ -138,7 +164,8 @@
                 Fleet.LLM,
                 1,
                 request.arrivedAt,
-                request.arrivedAt + MAX_WAIT_NANOS,
+                request.arrivedAt
+                    + (long) (workload.targetMillis() * MAX_WAIT_TARGETS) * Fleet.MILLI,
                 request.prompt,
                 true,
                 request.avoid));
@@ -150,7 +177,7 @@
       if (now > binding.job().waitDeadline()) {
         abandoned++;
         entry.ended(binding.job().id(), AttemptResult.CANCELLED, now);
-      } else if (!engines.get(binding.server().id()).take(request)) {
+      } else if (!engines.get(binding.server().id()).take(request, this)) {
         rejected++;
         entry.ended(binding.job().id(), AttemptResult.FULL, now);
       }
@@ -194,15 +221,21 @@
     private final PromptShape prompt;
     private final long arrivedAt;
     private final Set<BackendServerId> avoid;
-    private double pendingPrefillTokens = PROMPT_TOKENS;
-    private double remainingAnswerTokens = ANSWER_TOKENS;
+    private double pendingPrefillTokens;
+    private double remainingAnswerTokens;
 
     Request(
-        String name, int entry, PromptShape prompt, long arrivedAt, Set<BackendServerId> avoid) {
+        String name,
+        int entry,
+        PromptShape prompt,
+        long arrivedAt,
+        int answerTokens,
+        Set<BackendServerId> avoid) {
       this.name = name;
       this.entry = entry;
       this.prompt = prompt;
       this.arrivedAt = arrivedAt;
+      this.remainingAnswerTokens = answerTokens;
       this.avoid = avoid;
     }
   }
@@ -211,10 +244,16 @@
     private final List<Request> running = new ArrayList<>();
     private final List<Request> queue = new ArrayList<>();
 
-    boolean take(Request request) {
+    private final PrefixCacheEstimate cache = new PrefixCacheEstimate(CACHED_TOKENS);
+
+    boolean take(Request request, FleetSimulation fleet) {
       if (running.size() >= SLOTS && queue.size() >= QUEUE) {
         return false;
       }
+      int cached = cache.cachedTokens(request.prompt);
+      fleet.sharedPartReads += cached == 0 ? 1 : 0;
+      request.pendingPrefillTokens = request.prompt.tokens() - cached;
+      cache.recordSent(request.prompt);
       queue.add(request);
       return true;
     }
@@ -223,7 +262,8 @@
       while (running.size() < SLOTS && !queue.isEmpty()) {
         running.add(queue.remove(0));
       }
-      double prefillBudget = STEP_MILLIS * (double) PREFILL_TOKENS_PER_MILLI;
+      double budget = STEP_MILLIS * fleet.workload.prefillTokensPerMilli();
+      double prefillBudget = budget;
       for (Request request : running) {
         double prefilled = Math.min(prefillBudget, request.pendingPrefillTokens);
         prefillBudget -= prefilled;
@@ -234,7 +274,7 @@
           fleet.firstEvent(request);
         }
       }
-      boolean prefilling = prefillBudget < STEP_MILLIS * (double) PREFILL_TOKENS_PER_MILLI;
+      boolean prefilling = prefillBudget < budget;
       double tokens =
           STEP_MILLIS
               / (STEP_BASE_MILLIS + STEP_MILLIS_PER_REQUEST * running.size())
@@ -258,7 +298,7 @@
   }
 
   private void firstEvent(Request request) {
-    entries.get(request.entry).firstEventReceived(new RequestId(request.name));
-    onTime += now - request.arrivedAt <= 1500 * Fleet.MILLI ? 1 : 0;
+    entries.get(request.entry).firstEventReceived(new RequestId(request.name), now);
+    onTime += now - request.arrivedAt <= workload.targetMillis() * Fleet.MILLI ? 1 : 0;
   }
 }
--- a/routing/src/test/java/org/endivemux/routing/fleet/GrownFleetTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/GrownFleetTest.java
@@ -5,6 +5,7 @@
 import net.jqwik.api.Example;
 import org.endivemux.routing.fleet.FleetSimulation.LoadExchange;
 import org.endivemux.routing.fleet.FleetSimulation.Outcome;
+import org.endivemux.routing.fleet.FleetSimulation.Workload;
 
 /** Compares two ways in which many entries share their load, in a burst of long prompts. */
 final class GrownFleetTest {
@@ -19,7 +20,7 @@
 
   private static Outcome play(LoadExchange exchange) {
     Outcome outcome =
-        new FleetSimulation(ENTRIES, ENGINES, exchange, 7)
+        new FleetSimulation(ENTRIES, ENGINES, exchange, Workload.reports(), 7)
             .play(SECONDS, GrownFleetTest::monthEndReports);
     System.out.println("month-end reports, " + exchange + ": " + outcome);
     return outcome;
