Never pass on a late copy of an earlier response

Cause: a response that named no request was taken for that of the request in progress. A server that repeats a response 20 ms late on an idle connection gave the next caller that copy; found by LateResponseTest (call-9 got the body of call-8). Change: a connection is reused only while each response on it names its request; on a reused connection a response without an id belongs to nobody. Tests: LateResponseTest (copy with the response or late; by length or chunked), red before, green after. StreamTest.brokenStreamResumesElsewhere... failed a second time beside load: ANSWER_BROKEN after four attempts. The retry's log line tells the tokens of the attempt now, to show why.

--- a/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
+++ b/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
@@ -88,8 +88,8 @@
     }
     counters.retried(reason.get());
     logger.atInfo().log(
-        "event=retry request=%s reason=%s backend=%s",
-        upstream.job().id(), reason.get(), attempt.serverName());
+        "event=retry request=%s reason=%s backend=%s tokens=%d",
+        upstream.job().id(), reason.get(), attempt.serverName(), attempt.tokens());
     return run(upstream, sender, history.next());
   }
 
@@ -196,6 +196,10 @@
       tokens += more;
     }
 
+    int tokens() {
+      return tokens;
+    }
+
     /** Records that the caller has received a part of the response. */
     void markDelivered(boolean canResume) {
       delivered = true;
--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
+import org.endivemux.wire.ResponseIdentity;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -20,7 +21,7 @@
  *
  * <p>Invariants: the HTTP library's own retries and redirects are disabled; a non-repeatable call
  * uses a new connection; a connection whose response was not read completely is closed; a response
- * that echoes another request's id is an error. Thread-safe.
+ * that belongs to another request is an error. Thread-safe.
  */
 final class BackendClient {
   private static final int MAX_CONNECTIONS = 20_000;
@@ -88,8 +89,13 @@
   /** Sends a call and passes the response to a reader once its headers have arrived. */
   <T> Flux<T> send(Call call, java.util.function.Function<Response, Flux<T>> reader) {
     HttpClient client = call.repeatable() ? pooled : unpooled;
+    AtomicBoolean belongsToCall = new AtomicBoolean();
     return client
         .doOnRequest((request, connection) -> call.sendState().markSent())
+        .doOnResponse(
+            (response, connection) ->
+                belongsToCall.set(
+                    ResponseIdentity.belongsTo(call.id().value(), requestOf(response), connection)))
         .headers(headers -> headers.set(call.headers()).set(Exchange.REQUEST_ID, call.id().value()))
         .responseTimeout(limits.firstByte())
         .request(call.method())
@@ -97,32 +103,29 @@
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(call.body())))
         .response(
             (response, content) ->
-                checkEcho(call, response)
-                    .<Flux<T>>map(Flux::error)
-                    .orElseGet(
-                        () ->
-                            reader.apply(
-                                new Response(
-                                    response.status().code(),
-                                    response.responseHeaders(),
-                                    content.asByteArray(),
-                                    limits.betweenBytes()))));
+                belongsToCall.get()
+                    ? reader.apply(
+                        new Response(
+                            response.status().code(),
+                            response.responseHeaders(),
+                            content.asByteArray(),
+                            limits.betweenBytes()))
+                    : mismatch());
   }
 
-  private Optional<MismatchedResponseException> checkEcho(Call call, HttpClientResponse response) {
-    return Optional.ofNullable(response.responseHeaders().get(Exchange.REQUEST_ID))
-        .filter(echo -> !echo.equals(call.id().value()))
-        .map(
-            echo -> {
-              counters.mismatchedResponse();
-              return new MismatchedResponseException();
-            });
+  private static Optional<String> requestOf(HttpClientResponse response) {
+    return Optional.ofNullable(response.responseHeaders().get(Exchange.REQUEST_ID));
+  }
+
+  private <T> Flux<T> mismatch() {
+    counters.mismatchedResponse();
+    return Flux.error(new MismatchedResponseException());
   }
 
   /** Signals a response that belongs to another request. Immutable. */
   static final class MismatchedResponseException extends RuntimeException {
     MismatchedResponseException() {
-      super("The backend server's response carries the id of another request.");
+      super("The backend server's response belongs to another request.");
     }
   }
 }
