One retry decision and one send marker for the chat API and the gateway

Cause: AttemptRunner and Relay each decided whether a failed attempt may be followed by another, with the same cases in another order, and each had its own marker of whether a byte may have been sent. Change: RetryPolicy in routing decides from a typed description of the attempt; SendMarker stands in wire. What stays apart are the budgets (by class; by service over all entries), the limit of servers by route, and the final refusals. Tests: RetryPolicyTest (all cases), RelayTest, AtMostOnceTest green.

--- a/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
+++ b/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
@@ -11,6 +11,11 @@
 import org.endivemux.routing.Assignment;
 import org.endivemux.routing.Observation;
 import org.endivemux.routing.RetryBudget;
+import org.endivemux.routing.RetryPolicy;
+import org.endivemux.routing.RetryPolicy.Delivered;
+import org.endivemux.routing.RetryPolicy.FailedAttempt;
+import org.endivemux.routing.RetryPolicy.Failure;
+import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 
 /**
@@ -22,7 +27,6 @@
  */
 final class AttemptRunner {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final int MAX_ATTEMPTS = 4;
 
   private final Dispatcher dispatcher;
   private final RetryBudget budget;
@@ -81,7 +85,7 @@
       Throwable error) {
     Optional<RetryReason> reason =
         retryReason(upstream, attempt, error)
-            .filter(allowed -> history.attempts() < MAX_ATTEMPTS)
+            .filter(allowed -> history.attempts() < RetryPolicy.MAX_ATTEMPTS)
             .filter(allowed -> budget.tryRetry(upstream.requestClass().name()));
     if (reason.isEmpty()) {
       return Flux.error(refusal(history, attempt, error));
@@ -98,20 +102,17 @@
     if (error instanceof RefusedException || !attempt.hasStarted()) {
       return Optional.empty();
     }
-    if (!attempt.sendState().mayHaveBeenSent()) {
-      return Optional.of(RetryReason.CONNECT_FAILED);
-    }
-    if (!upstream.job().repeatable()) {
-      return Optional.empty();
-    }
+    FailedAttempt failed =
+        new FailedAttempt(
+            attempt.sendMarker().mayHaveSent(), failureOf(error), attempt.deliveredPart());
+    return RetryPolicy.reason(failed, upstream.job().repeatable());
+  }
+
+  private static Failure failureOf(Throwable error) {
     if (error instanceof BackendBusyException) {
-      return Optional.of(RetryReason.BACKEND_BUSY);
-    }
-    if (attempt.hasDelivered()) {
-      return attempt.isResumable() ? Optional.of(RetryReason.STREAM_RESUMED) : Optional.empty();
+      return Failure.NOT_RUN;
     }
-    return Optional.of(
-        isTimeout(error) ? RetryReason.SILENT_BEFORE_ANSWER : RetryReason.BROKEN_BEFORE_ANSWER);
+    return isTimeout(error) ? Failure.TIMEOUT : Failure.BROKEN;
   }
 
   private static boolean isTimeout(Throwable error) {
@@ -138,7 +139,7 @@
   /** Holds the number of attempts so far and whether any may have sent a byte. Immutable. */
   private record History(int attempts, boolean everSent) {
     History after(Attempt attempt) {
-      return new History(attempts, everSent || attempt.sendState().mayHaveBeenSent());
+      return new History(attempts, everSent || attempt.sendMarker().mayHaveSent());
     }
 
     History next() {
@@ -149,11 +150,11 @@
   /**
    * Tracks the progress of one attempt.
    *
-   * <p>Confined to the attempt's event loop, except for {@code sendState}, which is thread-safe.
+   * <p>Confined to the attempt's event loop, except for {@code sendMarker}, which is thread-safe.
    */
   static final class Attempt {
     private final LongSupplier nanos;
-    private final BackendClient.SendState sendState = new BackendClient.SendState();
+    private final SendMarker sendMarker = new SendMarker();
     private Optional<Assignment> assignment = Optional.empty();
     private Optional<Throwable> error = Optional.empty();
     private long startedAt;
@@ -176,8 +177,8 @@
       error = Optional.of(cause);
     }
 
-    BackendClient.SendState sendState() {
-      return sendState;
+    SendMarker sendMarker() {
+      return sendMarker;
     }
 
     boolean hasStarted() {
@@ -220,8 +221,11 @@
       return delivered;
     }
 
-    boolean isResumable() {
-      return resumable;
+    Delivered deliveredPart() {
+      if (!delivered) {
+        return Delivered.NOTHING;
+      }
+      return resumable ? Delivered.RESUMABLE : Delivered.NOT_RESUMABLE;
     }
 
     long nanosSinceStart() {
--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -10,6 +10,7 @@
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
 import org.endivemux.wire.ResponseIdentity;
+import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -53,7 +54,7 @@
         .option(ChannelOption.TCP_NODELAY, true);
   }
 
-  /** Holds one call to a backend server. Immutable except for {@code sendState}. */
+  /** Holds one call to a backend server. Immutable except for {@code sendMarker}. */
   @SuppressWarnings("ArrayRecordComponent") // Bodies are passed on, never compared.
   record Call(
       RequestId id,
@@ -63,20 +64,7 @@
       HttpHeaders headers,
       byte[] body,
       boolean repeatable,
-      SendState sendState) {}
-
-  /** Tracks whether any byte of a call may have been sent. Thread-safe; never reset. */
-  static final class SendState {
-    private final AtomicBoolean value = new AtomicBoolean();
-
-    boolean mayHaveBeenSent() {
-      return value.get();
-    }
-
-    private void markSent() {
-      value.set(true);
-    }
-  }
+      SendMarker sendMarker) {}
 
   /**
    * Holds a response whose headers have been received and whose body has not been read yet.
@@ -91,7 +79,7 @@
     HttpClient client = call.repeatable() ? pooled : unpooled;
     AtomicBoolean belongsToCall = new AtomicBoolean();
     return client
-        .doOnRequest((request, connection) -> call.sendState().markSent())
+        .doOnRequest((request, connection) -> call.sendMarker().markSent())
         .doOnResponse(
             (response, connection) ->
                 belongsToCall.set(
--- a/entry/src/main/java/org/endivemux/entry/BufferedResponse.java
+++ b/entry/src/main/java/org/endivemux/entry/BufferedResponse.java
@@ -29,7 +29,7 @@
             upstream.headers(),
             upstream.body(),
             upstream.job().repeatable(),
-            attempt.sendState());
+            attempt.sendMarker());
     return client.send(call, response -> read(response, upstream, attempt));
   }
 
--- a/entry/src/main/java/org/endivemux/entry/ChatStream.java
+++ b/entry/src/main/java/org/endivemux/entry/ChatStream.java
@@ -49,7 +49,7 @@
             headers(),
             upstream.body(),
             true,
-            attempt.sendState());
+            attempt.sendMarker());
     return client.send(call, response -> relay(response, attempt));
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
+++ b/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
@@ -1,5 +1,7 @@
 package org.endivemux.gateway;
 
+import java.util.concurrent.TimeoutException;
+import org.endivemux.routing.RetryPolicy.Failure;
 import org.endivemux.routing.fleet.AttemptResult;
 
 /** Signals that an attempt ended without a response to pass on. Immutable. */
@@ -18,6 +20,17 @@
     return error instanceof ServerError ? AttemptResult.ERROR : AttemptResult.FAILED;
   }
 
+  /** Returns how an attempt failed, as far as it matters for another one. */
+  static Failure failureOf(Throwable error) {
+    if (error instanceof NotRun) {
+      return Failure.NOT_RUN;
+    }
+    if (error instanceof ServerError) {
+      return Failure.SERVER_ERROR;
+    }
+    return error instanceof TimeoutException ? Failure.TIMEOUT : Failure.BROKEN;
+  }
+
   /** Signals that the backend server states that it did not run the request. */
   static final class NotRun extends AttemptFailure {
     private static final long serialVersionUID = 1;
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -4,10 +4,10 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 
 /**
@@ -42,19 +42,6 @@
       int maxConnections,
       SendMarker sendMarker) {}
 
-  /** Records whether a byte of a call may have been sent; it never resets. Thread-safe. */
-  final class SendMarker {
-    private final AtomicBoolean value = new AtomicBoolean();
-
-    public boolean mayHaveSent() {
-      return value.get();
-    }
-
-    public void markSent() {
-      value.set(true);
-    }
-  }
-
   /**
    * Holds a response whose head has arrived and whose body has not been read yet.
    *
--- a/gateway/src/main/java/org/endivemux/gateway/Progress.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Progress.java
@@ -4,8 +4,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.endivemux.gateway.BackendPort.SendMarker;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.routing.RetryPolicy.Delivered;
+import org.endivemux.wire.SendMarker;
 
 /**
  * Tracks one request over all of its attempts.
@@ -82,6 +83,14 @@
     return headDelivered;
   }
 
+  /** Returns what the caller has of the response. */
+  Delivered deliveredPart() {
+    if (!headDelivered) {
+      return Delivered.NOTHING;
+    }
+    return lastEvent.isPresent() ? Delivered.RESUMABLE : Delivered.NOT_RESUMABLE;
+  }
+
   OptionalLong lastEvent() {
     return lastEvent;
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -13,7 +13,6 @@
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.gateway.BackendPort.Call;
 import org.endivemux.gateway.BackendPort.Response;
-import org.endivemux.gateway.BackendPort.SendMarker;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
@@ -22,10 +21,13 @@
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.routing.RetryPolicy;
+import org.endivemux.routing.RetryPolicy.FailedAttempt;
 import org.endivemux.routing.fleet.AttemptResult;
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.wire.BoundedBytes;
+import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -40,7 +42,6 @@
 final class Relay {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final int MAX_ATTEMPTS = 4;
   private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
   /**
@@ -244,22 +245,24 @@
     if (error instanceof GatewayRefusal) {
       return Flux.error(error);
     }
-    boolean mayHaveRun = RetryPolicy.mayHaveRun(marker, error);
-    if (mayHaveRun) {
+    FailedAttempt failed =
+        new FailedAttempt(
+            marker.mayHaveSent(), AttemptFailure.failureOf(error), progress.deliveredPart());
+    if (failed.mayHaveRun()) {
       progress.recordPossibleRun();
     } else {
       progress.recordNotRun();
     }
     Optional<RetryReason> reason =
-        RetryPolicy.reason(request.route(), progress, marker, error)
-            .filter(allowed -> progress.attempts() < MAX_ATTEMPTS)
+        RetryPolicy.reason(failed, mayRepeat(request.route(), progress))
+            .filter(allowed -> progress.attempts() < RetryPolicy.MAX_ATTEMPTS)
             .filter(allowed -> request.deadline() - nanos.getAsLong() > MIN_TIME_LEFT_NANOS)
             .filter(allowed -> !marker.mayHaveSent() || retries.tryRepeat(request.service()));
     logger.atInfo().log(
         "event=try_failed request=%s try=%d mayHaveRun=%s retry=%s cause=\"%s\"",
         request.head().id(),
         progress.attempts(),
-        mayHaveRun,
+        failed.mayHaveRun(),
         reason.map(RetryReason::toString).orElse("no"),
         error);
     if (reason.isEmpty()) {
@@ -269,6 +272,10 @@
     return attempt(request, body, progress);
   }
 
+  private static boolean mayRepeat(HostRoute route, Progress progress) {
+    return route.repeatable() && progress.possibleRuns() < route.maxServers();
+  }
+
   /** Ends a request whose last attempt failed. */
   private Flux<ResponsePart> finalResponse(Progress progress, Throwable error) {
     if (progress.headDelivered()) {
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
@@ -165,7 +165,7 @@
                 1,
                 request.arrivedAt,
                 request.arrivedAt
-                    + (long) (workload.targetMillis() * MAX_WAIT_TARGETS) * Fleet.MILLI,
+                    + (long) (workload.targetMillis() * MAX_WAIT_TARGETS * Fleet.MILLI),
                 request.prompt,
                 true,
                 request.avoid));
