Resume a stream that gets on up to eight times

Cause, traced by the tokens in the retry's log line: a connection that breaks also loses events that the engine has sent. Attempts that were to deliver 4, 7, 4 and 7 tokens delivered 1, 7 and 4, so that four attempts did not make up 20 tokens and the stream ended as broken. Ruled out: the choice of the server, which alternated each time. Change: four attempts as before while nothing is delivered, eight for a stream that gets on; the retry budget bounds both.

--- a/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
+++ b/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
@@ -85,7 +85,8 @@
       Throwable error) {
     Optional<RetryReason> reason =
         retryReason(upstream, attempt, error)
-            .filter(allowed -> history.attempts() < RetryPolicy.MAX_ATTEMPTS)
+            .filter(
+                allowed -> RetryPolicy.allowsAnother(history.attempts(), attempt.hasDelivered()))
             .filter(allowed -> budget.tryRetry(upstream.requestClass().name()));
     if (reason.isEmpty()) {
       return Flux.error(refusal(history, attempt, error));
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -255,7 +255,8 @@
     }
     Optional<RetryReason> reason =
         RetryPolicy.reason(failed, mayRepeat(request.route(), progress))
-            .filter(allowed -> progress.attempts() < RetryPolicy.MAX_ATTEMPTS)
+            .filter(
+                allowed -> RetryPolicy.allowsAnother(progress.attempts(), progress.headDelivered()))
             .filter(allowed -> request.deadline() - nanos.getAsLong() > MIN_TIME_LEFT_NANOS)
             .filter(allowed -> !marker.mayHaveSent() || retries.tryRepeat(request.service()));
     logger.atInfo().log(
--- a/routing/src/main/java/org/endivemux/routing/RetryPolicy.java
+++ b/routing/src/main/java/org/endivemux/routing/RetryPolicy.java
@@ -11,7 +11,10 @@
  */
 public final class RetryPolicy {
   /** Attempts for one request, of which most end at servers that did not run it. */
-  public static final int MAX_ATTEMPTS = 4;
+  private static final int MAX_ATTEMPTS = 4;
+
+  /** Attempts for a stream that gets on: a broken connection also loses events in transit. */
+  private static final int MAX_ATTEMPTS_OF_A_RESUMED_STREAM = 8;
 
   /** Lists the ways in which an attempt fails. */
   public enum Failure {
@@ -48,6 +51,15 @@
 
   private RetryPolicy() {}
 
+  /**
+   * Returns whether so many attempts leave another one.
+   *
+   * @param progressed whether attempts deliver parts of the response
+   */
+  public static boolean allowsAnother(int attempts, boolean progressed) {
+    return attempts < (progressed ? MAX_ATTEMPTS_OF_A_RESUMED_STREAM : MAX_ATTEMPTS);
+  }
+
   /**
    * Returns the reason for another attempt, or empty if none is allowed.
    *
--- a/routing/src/test/java/org/endivemux/routing/RetryPolicyTest.java
+++ b/routing/src/test/java/org/endivemux/routing/RetryPolicyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Optional;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.endivemux.model.RetryReason;
@@ -25,4 +26,11 @@
     assertThat(attempt.mayHaveRun()).isEqualTo(!certainlyNotRun);
     assertThat(reason.isPresent()).isEqualTo(certainlyNotRun || (mayRepeat && canBeContinued));
   }
+
+  @Example
+  void streamThatGetsOnMayBeResumedMoreOftenThanOneThatDoesNot() {
+    assertThat(RetryPolicy.allowsAnother(4, false)).isFalse();
+    assertThat(RetryPolicy.allowsAnother(4, true)).isTrue();
+    assertThat(RetryPolicy.allowsAnother(8, true)).isFalse();
+  }
 }
