Usage windows: let no step of a wall clock move true time

Tests: TrueTimeTest, two new (a step of four of six clocks; drift and suspension); they need the new class, so they were not run on the code before.

--- a/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
@@ -10,6 +10,7 @@
 import org.endivemux.control.message.ControlReply.GatewayPollReply;
 import org.endivemux.control.message.ControlRequest.GatewayPoll;
 import org.endivemux.control.voter.Clocks;
+import org.endivemux.control.voter.SteadyWallClock;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.GatewayServer;
@@ -34,6 +35,7 @@
   private static final long MAX_MESSAGE_DELAY_MILLIS = 30;
 
   private final Clocks clocks;
+  private final SteadyWallClock wallClock;
   private final long windowMillis;
   private final Supplier<List<ServiceLoad>> loads;
   private final Supplier<List<InFlightAt>> inFlight;
@@ -56,6 +58,7 @@
       Supplier<List<ServiceLoad>> loads,
       Supplier<List<InFlightAt>> inFlight) {
     this.clocks = clocks;
+    this.wallClock = new SteadyWallClock(clocks);
     this.windowMillis = windowMillis;
     this.loads = loads;
     this.inFlight = inFlight;
@@ -64,7 +67,7 @@
 
   /** Returns the best estimate of true time in Unix milliseconds. */
   public synchronized long trueMillis() {
-    return hasOffset ? clocks.nanos() / NANOS_PER_MILLI + offsetMillis : clocks.millis();
+    return hasOffset ? clocks.nanos() / NANOS_PER_MILLI + offsetMillis : wallClock.millis();
   }
 
   /** Counts a request that started to run {@code agoMillis} ago. */
@@ -91,7 +94,8 @@
                     window.getValue().entrySet().stream()
                         .map(e -> new WindowCount(window.getKey(), e.getKey(), e.getValue())))
             .toList();
-    return new GatewayPoll(serversNumber, counts, clocks.millis(), currentLoads, currentInFlight);
+    return new GatewayPoll(
+        serversNumber, counts, wallClock.millis(), currentLoads, currentInFlight);
   }
 
   void applyReply(GatewayPollReply reply) {
--- a/control/src/main/java/org/endivemux/control/voter/TrueTime.java
+++ b/control/src/main/java/org/endivemux/control/voter/TrueTime.java
@@ -6,10 +6,12 @@
 import org.endivemux.model.VmId;
 
 /**
- * Estimates true time as the median of the wall clocks of this VM and of the entries.
+ * Estimates true time as the median of the clocks of this VM and of the entries.
  *
- * <p>Invariant: the estimate advances with the monotonic clock, so a step of fewer than half of the
- * wall clocks moves it by no more than the other clocks differ. Thread-safe.
+ * <p>Each VM reports its {@link SteadyWallClock}, so that steps of wall clocks move nothing while
+ * the processes run. Invariant: the estimate advances with the monotonic clock, and fewer than half
+ * of the VMs that start with a wrong clock move it by no more than the other clocks differ.
+ * Thread-safe.
  */
 public final class TrueTime {
   private static final long NANOS_PER_MILLI = 1_000_000L;
@@ -18,13 +20,15 @@
   private static final long SAMPLE_EXPIRY_NANOS = 5_000 * NANOS_PER_MILLI;
 
   private final Clocks clocks;
+  private final SteadyWallClock own;
   private final Map<VmId, Sample> samples = new HashMap<>();
 
   public TrueTime(Clocks clocks) {
     this.clocks = clocks;
+    this.own = new SteadyWallClock(clocks);
   }
 
-  /** Records the wall-clock time in a message that was just received from a VM. */
+  /** Records the time that a VM reports in a message that was just received. */
   synchronized void observed(VmId vm, long wallMillis) {
     long now = clocks.nanos();
     samples.put(vm, new Sample(wallMillis - now / NANOS_PER_MILLI, now));
@@ -34,7 +38,7 @@
   /** Returns the estimate in Unix milliseconds. */
   public synchronized long millis() {
     long monotonicMillis = clocks.nanos() / NANOS_PER_MILLI;
-    long ownOffset = clocks.millis() - monotonicMillis;
+    long ownOffset = own.millis() - monotonicMillis;
     long[] offsets =
         Stream.concat(Stream.of(ownOffset), samples.values().stream().map(Sample::offsetMillis))
             .mapToLong(Long::longValue)
--- a/control/src/test/java/org/endivemux/control/voter/TrueTimeTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/TrueTimeTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.endivemux.model.VmId;
 
@@ -40,4 +41,27 @@
     nanos.addAndGet(1_000_000_000L);
     assertThat(time.millis()).isEqualTo(TRUE_MILLIS + 1000);
   }
+
+  @Example
+  void stepOfMostClocksChangesNothing() {
+    SteadyWallClock entry = new SteadyWallClock(new Clocks(nanos::get, wall::get));
+    IntStream.range(0, 5)
+        .forEach(i -> time.observed(new VmId("entry" + i), i < 2 ? TRUE_MILLIS : entry.millis()));
+    nanos.addAndGet(1_000_000_000L);
+    wall.set(TRUE_MILLIS + 1000 + 2400);
+    IntStream.range(2, 5).forEach(i -> time.observed(new VmId("entry" + i), entry.millis()));
+    assertThat(time.millis()).isEqualTo(TRUE_MILLIS + 1000);
+  }
+
+  @Example
+  void clockFollowsADriftAtOnceAndASuspensionAfterAMinute() {
+    SteadyWallClock clock = new SteadyWallClock(new Clocks(nanos::get, wall::get));
+    wall.set(TRUE_MILLIS + 50);
+    assertThat(clock.millis()).isEqualTo(TRUE_MILLIS + 50);
+    wall.set(TRUE_MILLIS + 10_050);
+    assertThat(clock.millis()).isEqualTo(TRUE_MILLIS + 50);
+    nanos.addAndGet(61_000_000_000L);
+    wall.addAndGet(61_000);
+    assertThat(clock.millis()).isEqualTo(TRUE_MILLIS + 71_050);
+  }
 }
