Give up a silent attempt only when another is possible, and not while its engine works

Cause: an attempt without a first byte was cut after twice its target even when no repeat was left in the shared budget; the caller then got 504 although the engine would have answered. Change: the timeout waits until a repeat is left, and for three times the prefill that was pending at the engine when the attempt started, by the learned rate. Test: RelayTest.silentAttemptGoesOnWhenNoRepeatIsLeft, red with the check for a repeat switched off, green with it.

--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -63,6 +63,9 @@
    */
   private static final double FIRST_BYTE_TIMEOUT_TARGETS = 2;
 
+  /** A busy server that works off its queue is no silent one. */
+  private static final int EXPECTED_PREFILLS_TO_FIRST_BYTE = 3;
+
   private static final long MIN_FIRST_BYTE_TIMEOUT_NANOS = 600 * NANOS_PER_MILLI;
 
   /** Shortest timeout between events of a stream that may be resumed elsewhere. */
@@ -170,7 +173,7 @@
         table.get().config().version());
     return backends
         .send(call, response -> read(request, progress, id, sentAt, response))
-        .transform(parts -> withTimeouts(request, progress, parts))
+        .transform(parts -> withTimeouts(request, progress, binding, parts))
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
         .doOnError(error -> pool.release(id, AttemptFailure.endOf(error)))
         .doOnCancel(() -> pool.release(id, AttemptResult.CANCELLED));
@@ -181,21 +184,31 @@
     return Math.max(1, declared / Math.max(1, entries.getAsInt()));
   }
 
-  /** Ends a silent attempt early if the request may be repeated or resumed elsewhere. */
+  /** Ends a silent attempt early if the request can be repeated or resumed elsewhere. */
   private Flux<ResponsePart> withTimeouts(
-      AdmittedRequest request, Progress progress, Flux<ResponsePart> parts) {
+      AdmittedRequest request, Progress progress, Binding binding, Flux<ResponsePart> parts) {
     HostRoute route = request.route();
     if (!route.repeatable() || progress.possibleRuns() + 1 >= route.maxServers()) {
       return parts;
     }
     long first =
         Math.max(
-            MIN_FIRST_BYTE_TIMEOUT_NANOS,
+            Math.max(
+                MIN_FIRST_BYTE_TIMEOUT_NANOS,
+                EXPECTED_PREFILLS_TO_FIRST_BYTE * binding.expectedPrefillNanos()),
             (long) (route.targetMillis() * NANOS_PER_MILLI * FIRST_BYTE_TIMEOUT_TARGETS));
     long gap = Math.max(MIN_GAP_TIMEOUT_NANOS, 2 * route.gapMillis() * NANOS_PER_MILLI);
     return parts.timeout(
-        Mono.delay(Duration.ofNanos(first), timers),
-        part -> Mono.delay(Duration.ofNanos(gap), timers));
+        silence(request.service(), first), part -> silence(request.service(), gap));
+  }
+
+  /**
+   * Signals the end of a timeout, but not before a repeat is left: until then waiting is better.
+   */
+  private Mono<Long> silence(ServiceName service, long nanosToWait) {
+    return Mono.delay(Duration.ofNanos(nanosToWait), timers)
+        .filter(tick -> retries.hasRepeat(service))
+        .repeatWhenEmpty(checks -> checks);
   }
 
   private Flux<ResponsePart> read(
--- a/gateway/src/main/java/org/endivemux/gateway/ServiceRetryAllowances.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServiceRetryAllowances.java
@@ -41,6 +41,11 @@
     of(service).recordRequest(nanos.getAsLong());
   }
 
+  /** Returns whether a repeat is left. */
+  synchronized boolean hasRepeat(ServiceName service) {
+    return of(service).hasRetry(entries.getAsInt(), nanos.getAsLong());
+  }
+
   /** Takes one repeat; returns false when none is left. */
   synchronized boolean tryRepeat(ServiceName service) {
     return of(service).tryRetry(entries.getAsInt(), nanos.getAsLong());
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -126,6 +126,11 @@
   }
 
   private static Flux<ResponsePart> run(ScriptedBackend backend, HostRoute route, Duration limit) {
+    return run(backend, route, limit, 50);
+  }
+
+  private static Flux<ResponsePart> run(
+      ScriptedBackend backend, HostRoute route, Duration limit, double retrySlack) {
     GatewayConfig config =
         new GatewayConfig(
             1,
@@ -147,7 +152,7 @@
             () -> new RouteTable(config),
             () -> 1,
             new ServiceRetryAllowances(
-                new ServiceRetryAllowances.Limits(0.2, 10, 50), () -> 1, System::nanoTime),
+                new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
             System::nanoTime,
             Schedulers.parallel());
     return relay.run(admitted(route, limit), new byte[0]);
@@ -252,6 +257,20 @@
         .isEqualTo(Reason.BACKEND_TIMEOUT);
   }
 
+  @Example
+  void silentAttemptGoesOnWhenNoRepeatIsLeft() {
+    ScriptedBackend backend =
+        new ScriptedBackend()
+            .then(
+                call -> {
+                  call.sendMarker().markSent();
+                  return Mono.delay(Duration.ofMillis(2500))
+                      .flatMapMany(tick -> responds(200, false, "late").apply(call));
+                });
+    HostRoute route = route(RequestKind.IDEMPOTENT, 2, false);
+    assertThat(text(run(backend, route, LIMIT, 0))).isEqualTo("200:late");
+  }
+
   @Example
   void requestWithoutAFreeServerIsRefusedAsTooLate() {
     HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -82,8 +82,14 @@
    *
    * @param copyFrom another server that probably has shared parts of the prompt cached that this
    *     one lacks
+   * @param expectedPrefillNanos time until the server has prefilled what is pending there, this job
+   *     included
    */
-  public record Binding(FleetJob job, GatewayServer server, Optional<GatewayServer> copyFrom) {}
+  public record Binding(
+      FleetJob job,
+      GatewayServer server,
+      Optional<GatewayServer> copyFrom,
+      long expectedPrefillNanos) {}
 
   public FleetScheduler(FailureDomain domain) {
     this.cost = new FleetCost(domain);
@@ -147,7 +153,12 @@
         Optional<GatewayServer> copyFrom = copyFrom(job, chosen.get());
         chosen.get().started(job, now);
         running.put(job.id(), chosen.get());
-        bound.add(new Binding(job, chosen.get().server(), copyFrom));
+        bound.add(
+            new Binding(
+                job,
+                chosen.get().server(),
+                copyFrom,
+                prefillRate(job.service()).nanosFor(chosen.get().pendingPrefillTokens(now))));
       }
     }
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/PrefillRate.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PrefillRate.java
@@ -36,6 +36,11 @@
     tokensPerMilli = Math.min(MAX_TOKENS_PER_MILLI, Math.max(MIN_TOKENS_PER_MILLI, moved));
   }
 
+  /** Returns how long an engine takes to prefill so many tokens. */
+  long nanosFor(long tokens) {
+    return (long) (tokens * NANOS_PER_MILLI / tokensPerMilli);
+  }
+
   double tokensPerMilli() {
     return tokensPerMilli;
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/RetryAllowance.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/RetryAllowance.java
@@ -41,15 +41,19 @@
 
   /** Takes one retry; returns false when none is left. */
   public boolean tryRetry(int entries, long now) {
-    int slot = slot(now);
+    boolean allowed = hasRetry(entries, now);
+    retries[slot(now)] += allowed ? 1 : 0;
+    return allowed;
+  }
+
+  /** Returns whether a retry is left. */
+  public boolean hasRetry(int entries, long now) {
+    slot(now);
     double allowed = ALLOCATED_SHARE * (ratio * sum(requests) + slack / Math.max(1, entries));
-    if (sum(retries) + 1 > allowed) {
-      return false;
-    }
-    retries[slot]++;
-    return true;
+    return sum(retries) + 1 <= allowed;
   }
 
+  /** Clears the slots of seconds that have passed and returns that of the present one. */
   private int slot(long now) {
     long currentSecond = Math.floorDiv(now, NANOS_PER_SECOND);
     long elapsed = Math.min(currentSecond - second, requests.length);
