Rank nodes by rendezvous hashing with one hash for each of them

Change: RendezvousHash.highest scores each node once; both callers use it. Relay's factor of the expected prefill has a name that says what it multiplies.

--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -107,7 +107,7 @@
                     new WindowCounts(),
                     new TrueTime(clocks),
                     new FleetLoad()));
-    this.leaderTasks = service.map(it -> leaderTasks(it));
+    this.leaderTasks = service.map(this::leaderTasks);
     Map<VmId, ControlClient.VoterClient> voterClients = voterClients();
     ControlClient control = new ControlClient(voterClients::get, settings.voters().keySet());
     UsageLedger usage = new UsageLedger();
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -63,8 +63,11 @@
    */
   private static final double FIRST_BYTE_TIMEOUT_TARGETS = 2;
 
-  /** A busy server that works off its queue is no silent one. */
-  private static final int EXPECTED_PREFILLS_TO_FIRST_BYTE = 3;
+  /**
+   * Timeout for the first byte as a multiple of the expected prefill: an engine that still works
+   * off its queue is busy, not silent.
+   */
+  private static final int FIRST_BYTE_TIMEOUT_PREFILLS = 3;
 
   private static final long MIN_FIRST_BYTE_TIMEOUT_NANOS = 600 * NANOS_PER_MILLI;
 
@@ -195,7 +198,7 @@
         Math.max(
             Math.max(
                 MIN_FIRST_BYTE_TIMEOUT_NANOS,
-                EXPECTED_PREFILLS_TO_FIRST_BYTE * binding.expectedPrefillNanos()),
+                FIRST_BYTE_TIMEOUT_PREFILLS * binding.expectedPrefillNanos()),
             (long) (route.targetMillis() * NANOS_PER_MILLI * FIRST_BYTE_TIMEOUT_TARGETS));
     long gap = Math.max(MIN_GAP_TIMEOUT_NANOS, 2 * route.gapMillis() * NANOS_PER_MILLI);
     return parts.timeout(
--- a/routing/src/main/java/org/endivemux/routing/EntryAddresses.java
+++ b/routing/src/main/java/org/endivemux/routing/EntryAddresses.java
@@ -1,6 +1,5 @@
 package org.endivemux.routing;
 
-import java.util.Comparator;
 import java.util.List;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.VmId;
@@ -16,11 +15,9 @@
 
   /** Returns the addresses of at most {@code limit} serving entries. */
   public static List<String> select(VmId self, List<EntryInfo> entries, int limit) {
-    Comparator<EntryInfo> byRank = RendezvousHash.byRank(self.value(), entry -> entry.vm().value());
-    return entries.stream()
-        .filter(EntryInfo::serving)
-        .sorted(byRank)
-        .limit(limit)
+    List<EntryInfo> serving = entries.stream().filter(EntryInfo::serving).toList();
+    return RendezvousHash.highest(self.value(), serving, entry -> entry.vm().value(), limit)
+        .stream()
         .map(EntryInfo::httpAddress)
         .toList();
   }
--- a/routing/src/main/java/org/endivemux/routing/RendezvousHash.java
+++ b/routing/src/main/java/org/endivemux/routing/RendezvousHash.java
@@ -1,6 +1,8 @@
 package org.endivemux.routing;
 
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.function.Function;
 
 /**
@@ -15,9 +17,15 @@
 
   private RendezvousHash() {}
 
-  /** Returns the order in which the highest ranked node for {@code key} comes last. */
-  public static <T> Comparator<T> byRank(String key, Function<T, String> name) {
-    return Comparator.comparingLong((T node) -> score(key, name.apply(node))).thenComparing(name);
+  /** Returns at most {@code count} nodes, the highest ranked one for {@code key} first. */
+  public static <T> List<T> highest(
+      String key, Collection<T> nodes, Function<T, String> name, int count) {
+    return nodes.stream()
+        .map(node -> new Scored<>(node, name.apply(node), score(key, name.apply(node))))
+        .sorted(Comparator.comparingLong(Scored<T>::score).thenComparing(Scored::name).reversed())
+        .limit(count)
+        .map(Scored::node)
+        .toList();
   }
 
   private static long score(String key, String node) {
@@ -25,4 +33,6 @@
     mixed = (mixed ^ (mixed >>> 29)) * SECOND_MULTIPLIER;
     return (mixed ^ (mixed >>> 32)) & Long.MAX_VALUE;
   }
+
+  private record Scored<T>(T node, String name, long score) {}
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/PreferredServers.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PreferredServers.java
@@ -17,11 +17,6 @@
   /** Returns at most {@code count} servers, the most preferred one first. */
   static List<ServerLoad> preferredServersOf(
       PromptPart part, Collection<ServerLoad> servers, int count) {
-    return servers.stream()
-        .sorted(
-            RendezvousHash.byRank(part.id(), (ServerLoad load) -> load.server().id().value())
-                .reversed())
-        .limit(count)
-        .toList();
+    return RendezvousHash.highest(part.id(), servers, load -> load.server().id().value(), count);
   }
 }
