--- a/control/src/main/java/org/endivemux/control/voter/Voter.java
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -43,10 +43,7 @@
  */
 public final class Voter implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-
-  /** Half of the interval between a leader's heartbeats. */
-  private static final long TICK_MILLIS = 50;
-
+  private static final long TICK_MILLIS = 20;
   private static final int COMPACTION_ENTRIES = 4000;
   private static final long COMPACTION_BYTES = 16L << 20;
   private static final int MAX_GROUP_SIZE = 1000;
