--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -131,10 +131,15 @@
 
   private static Flux<ResponsePart> run(
       ScriptedBackend backend, HostRoute route, Duration limit, double retrySlack) {
+    return run(backend, admitted(route, limit, PromptShape.none()), retrySlack);
+  }
+
+  private static Flux<ResponsePart> run(
+      ScriptedBackend backend, AdmittedRequest request, double retrySlack) {
     GatewayConfig config =
         new GatewayConfig(
             1,
-            List.of(route),
+            List.of(request.route()),
             List.of(new ServiceSpec(SERVICE, 8, Optional.empty(), Optional.empty())),
             ClientLimits.defaults(),
             List.of());
@@ -155,10 +160,10 @@
                 new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
             System::nanoTime,
             Schedulers.parallel());
-    return relay.run(admitted(route, limit), new byte[0]);
+    return relay.run(request, new byte[0]);
   }
 
-  private static AdmittedRequest admitted(HostRoute route, Duration limit) {
+  private static AdmittedRequest admitted(HostRoute route, Duration limit, PromptShape prompt) {
     RequestHead head =
         new RequestHead(
             "id",
@@ -168,7 +173,7 @@
             Optional.empty(),
             OptionalLong.empty(),
             OptionalLong.empty(),
-            PromptShape.none(),
+            prompt,
             new DefaultHttpHeaders());
     long now = System.nanoTime();
     return new AdmittedRequest(
@@ -257,18 +262,28 @@
         .isEqualTo(Reason.BACKEND_TIMEOUT);
   }
 
+  private static ScriptedBackend respondsAfterMillis(long millis) {
+    return new ScriptedBackend()
+        .then(
+            call -> {
+              call.sendMarker().markSent();
+              return Mono.delay(Duration.ofMillis(millis))
+                  .flatMapMany(tick -> responds(200, false, "late").apply(call));
+            });
+  }
+
   @Example
   void silentAttemptGoesOnWhenNoRepeatIsLeft() {
-    ScriptedBackend backend =
-        new ScriptedBackend()
-            .then(
-                call -> {
-                  call.sendMarker().markSent();
-                  return Mono.delay(Duration.ofMillis(2500))
-                      .flatMapMany(tick -> responds(200, false, "late").apply(call));
-                });
     HostRoute route = route(RequestKind.IDEMPOTENT, 2, false);
-    assertThat(text(run(backend, route, LIMIT, 0))).isEqualTo("200:late");
+    assertThat(text(run(respondsAfterMillis(2500), route, LIMIT, 0))).isEqualTo("200:late");
+  }
+
+  @Example
+  void attemptIsNotSilentWhileItsServerHasTokensToPrefill() {
+    HostRoute route = route(RequestKind.IDEMPOTENT, 2, false);
+    PromptShape longPrompt = new PromptShape("m", 250_000, 10, List.of());
+    AdmittedRequest request = admitted(route, LIMIT, longPrompt);
+    assertThat(text(run(respondsAfterMillis(2500), request, 50))).isEqualTo("200:late");
   }
 
   @Example
--- a/integration/src/test/java/org/endivemux/integration/RefusedBodyTest.java
+++ b/integration/src/test/java/org/endivemux/integration/RefusedBodyTest.java
@@ -11,7 +11,9 @@
 /** Tests that a caller can read a refusal although it was still sending the body. */
 final class RefusedBodyTest {
   private static final String PIECE = "x".repeat(1 << 16);
-  private static final long PAUSE_MILLIS = 5;
+
+  /** More than the sockets between both ends can hold, so that an early close breaks a write. */
+  private static final int PIECES = 400;
 
   @Example
   void entryRefusesABodyThatExceedsTheLimitAfterReadingIt() {
@@ -21,7 +23,7 @@
           new InetSocketAddress(InetAddress.getLoopbackAddress(), cluster.vms.get(0).httpPort);
       String head =
           "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + key + "\r\n";
-      assertThat(refusalAfter(address, head, 48)).startsWith("HTTP/1.1 413 ");
+      assertThat(refusalOf(address, head)).startsWith("HTTP/1.1 413 ");
     }
   }
 
@@ -31,25 +33,16 @@
       fleet.start();
       String head = CallerStandIn.rawUploadHead("long-body");
       InetSocketAddress address = fleet.callersSocket(fleet.entries.get(0));
-      assertThat(refusalAfter(address, head, 96)).startsWith("HTTP/1.1 413 ");
+      assertThat(refusalOf(address, head)).startsWith("HTTP/1.1 413 ");
     }
   }
 
-  /** Sends a body in pieces and returns the response; the refusal is due before the last piece. */
-  private static String refusalAfter(InetSocketAddress address, String head, int pieces) {
-    int length = pieces * PIECE.length();
+  /** Sends a body of which the receiver accepts only a part, and returns the response's head. */
+  private static String refusalOf(InetSocketAddress address, String head) {
+    int length = PIECES * PIECE.length();
     try (RawCall call = RawCall.send(address, head + "Content-Length: " + length + "\r\n\r\n")) {
-      IntStream.range(0, pieces).forEach(i -> writeAfterPause(call));
+      IntStream.range(0, PIECES).forEach(i -> call.write(PIECE));
       return call.readUntil("\r\n\r\n");
     }
   }
-
-  private static void writeAfterPause(RawCall call) {
-    try {
-      Thread.sleep(PAUSE_MILLIS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-    call.write(PIECE);
-  }
 }
--- a/integration/src/test/java/org/endivemux/integration/StreamTest.java
+++ b/integration/src/test/java/org/endivemux/integration/StreamTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -40,22 +41,20 @@
 
   @Example
   void silentEngineIsReplacedByAnotherDuringAStream() {
-    try (Cluster cluster = Cluster.started(1, 0)) {
-      String key = cluster.key("eggs");
-      Vm vm = cluster.vms.get(0);
-      cluster.engines.get(0).muteAfter(2);
-      cluster.engines.get(1).breakAfter(3);
-      Http.Response response = Cluster.chat(vm, key, 6, true);
-      assertThat(words(response.body())).isEqualTo(wordsTo(6));
-    }
+    assertStreamIsCompleteAlthough(engine -> engine.muteAfter(2));
   }
 
   @Example
   void engineThatSendsBytesWithoutEventsIsReplacedByAnotherDuringAStream() {
+    assertStreamIsCompleteAlthough(engine -> engine.dripAfter(2));
+  }
+
+  /** Plays a fault on one engine while the other one breaks each stream after three tokens. */
+  private static void assertStreamIsCompleteAlthough(Consumer<Engine> fault) {
     try (Cluster cluster = Cluster.started(1, 0)) {
       String key = cluster.key("eggs");
       Vm vm = cluster.vms.get(0);
-      cluster.engines.get(0).dripAfter(2);
+      fault.accept(cluster.engines.get(0));
       cluster.engines.get(1).breakAfter(3);
       Http.Response response = Cluster.chat(vm, key, 6, true);
       assertThat(words(response.body())).isEqualTo(wordsTo(6));
