Bound interim responses of the platform and of the chat API's servers too

Cause: the limit of 16 interim responses stood in the gateway's client alone. Change: the handler moves to wire; all three clients install it. Test: EndlessResponseTest, with a third property for reports, which go through the client with the lease gate: three runs, green; ControlTest, PathTest, LateResponseTest green.

--- a/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import org.endivemux.control.ControlException;
 import org.endivemux.wire.BoundedBytes;
+import org.endivemux.wire.InterimResponseLimit;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
@@ -36,6 +37,7 @@
         .baseUrl("http://" + address)
         .disableRetry(true)
         .followRedirect(false)
+        .doOnConnected(InterimResponseLimit::install)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .responseTimeout(timeout);
   }
--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
+import org.endivemux.wire.InterimResponseLimit;
 import org.endivemux.wire.ResponseIdentity;
 import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
@@ -50,6 +51,7 @@
     return client
         .disableRetry(true)
         .followRedirect(false)
+        .doOnConnected(InterimResponseLimit::install)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) limits.connect().toMillis())
         .option(ChannelOption.TCP_NODELAY, true);
   }
--- a/platform/src/main/java/org/endivemux/platform/InterimResponseLimit.java
+++ b/wire/src/main/java/org/endivemux/wire/InterimResponseLimit.java
@@ -1,21 +1,29 @@
-package org.endivemux.platform;
+package org.endivemux.wire;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import reactor.netty.Connection;
 
 /**
- * Closes a connection on which a backend server sends interim responses (1xx) without end.
+ * Closes a client's connection on which a server sends interim responses (1xx) without end.
  *
  * <p>Confined to the connection's event loop.
  */
-final class InterimResponseLimit extends ChannelInboundHandlerAdapter {
+public final class InterimResponseLimit extends ChannelInboundHandlerAdapter {
   /** Servers send one or two interim responses before the final one. */
   private static final int MAX_INTERIM_RESPONSES = 16;
 
   private int interimResponses;
 
+  private InterimResponseLimit() {}
+
+  /** Adds the limit to a new connection. */
+  public static void install(Connection connection) {
+    connection.addHandlerLast("interimLimit", new InterimResponseLimit());
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
     if (message instanceof HttpResponse response) {
@@ -25,7 +33,7 @@
     if (interimResponses <= MAX_INTERIM_RESPONSES) {
       super.channelRead(context, message);
     } else if (interimResponses == MAX_INTERIM_RESPONSES + 1) {
-      context.fireExceptionCaught(new PlatformException("Too many interim responses."));
+      context.fireExceptionCaught(new WireException("Too many interim responses."));
       var unused = context.close();
     }
   }
