Hold requests for the next proof of fresh state when the last one has just expired

Cause: an entry refused each request with STALE_STATE from the instant its proof of fresh state expired, also while a new leader was about to give the next one.

Change: Admission waits for ViewFollower.awaitFresh, which completes with the next proof. Nothing is served without a proof, as before. A starting entry holds its first requests likewise.

--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -13,15 +13,18 @@
 import org.endivemux.control.voter.SuspensionGuard;
 import org.endivemux.model.EntryInfo;
 import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 
 /**
  * Keeps an entry's view of the replicated state up to date by polling the leader.
  *
  * <p>Invariants: the revision never decreases; the view counts as fresh for {@link
  * EntryRegistry#FRESHNESS} after the sending of the latest poll that a leader with a lease has
- * answered; usage is sent as soon as it arises, at most once per {@link #USAGE_INTERVAL_PER_ENTRY}
- * and entry of the system. Thread-safe.
+ * answered; a request is held for a new proof only if the last one expired less than {@link
+ * #RENEWAL_WAIT} ago; usage is sent as soon as it arises, at most once per {@link
+ * #USAGE_INTERVAL_PER_ENTRY} and entry of the system. Thread-safe.
  */
 public final class ViewFollower implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -34,6 +37,12 @@
    */
   private static final Duration USAGE_INTERVAL_PER_ENTRY = Duration.ofMillis(2);
 
+  /**
+   * How long after its proof of freshness expired an entry holds requests for the next proof. It
+   * covers the election of a new leader and one poll that was sent to the old one.
+   */
+  private static final Duration RENEWAL_WAIT = EntryRegistry.FRESHNESS;
+
   private final ControlClient client;
   private final Supplier<EntryInfo> self;
   private final UsageLedger usage;
@@ -41,7 +50,8 @@
   private final Clocks clocks;
   private final SuspensionGuard guard;
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
-  private volatile State state = new State(EntryView.empty(), List.of(), 0, 0, false);
+  private final Sinks.Many<Long> proofs = Sinks.many().multicast().directBestEffort();
+  private volatile State state;
   private volatile Disposable polling = () -> {};
   private volatile long usageDueAtNanos;
 
@@ -58,6 +68,7 @@
     this.clocks = clocks;
     this.guard = clocks.guard();
     this.usageDueAtNanos = clocks.nanos();
+    this.state = new State(EntryView.empty(), List.of(), 0, clocks.nanos(), false);
   }
 
   /** Starts polling; returns at once. */
@@ -128,6 +139,7 @@
             reply.entriesNumber(),
             sentAtNanos + EntryRegistry.FRESHNESS.toNanos(),
             !suspended);
+    proofs.emitNext(reply.term(), Sinks.EmitFailureHandler.FAIL_FAST);
     if (view != before.view()) {
       listeners.forEach(Runnable::run);
     }
@@ -152,6 +164,24 @@
     return current.trusted() && current.freshUntilNanos() - clocks.nanos() > 0;
   }
 
+  /**
+   * Completes with whether the view is fresh: at once if it is or if the last proof expired long
+   * ago, otherwise as soon as a new proof arrives or the wait for one ends.
+   */
+  public Mono<Boolean> awaitFresh() {
+    return Mono.defer(
+        () -> {
+          long waitNanos = state.freshUntilNanos() + RENEWAL_WAIT.toNanos() - clocks.nanos();
+          return isFresh() || waitNanos <= 0
+              ? Mono.just(isFresh())
+              : Flux.merge(proofs.asFlux(), Mono.just(0L))
+                  .filter(proof -> isFresh())
+                  .next()
+                  .hasElement()
+                  .timeout(Duration.ofNanos(waitNanos), Mono.fromSupplier(this::isFresh));
+        });
+  }
+
   /** Adds a listener for changes of the view; it must not block. */
   public void onChange(Runnable listener) {
     listeners.add(listener);
--- a/entry/src/main/java/org/endivemux/entry/Admission.java
+++ b/entry/src/main/java/org/endivemux/entry/Admission.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.endivemux.control.client.ViewFollower;
 import org.endivemux.model.Declaration.RequestClass;
 import org.endivemux.model.Declaration.Route;
 import org.endivemux.model.DeclarationIndex;
@@ -22,17 +23,17 @@
 
   private final Authenticator authenticator;
   private final Supplier<DeclarationIndex> declared;
-  private final BooleanSupplier isFresh;
+  private final ViewFollower follower;
   private final BooleanSupplier isOpen;
 
   Admission(
       Authenticator authenticator,
       Supplier<DeclarationIndex> declared,
-      BooleanSupplier isFresh,
+      ViewFollower follower,
       BooleanSupplier isOpen) {
     this.authenticator = authenticator;
     this.declared = declared;
-    this.isFresh = isFresh;
+    this.follower = follower;
     this.isOpen = isOpen;
   }
 
@@ -41,11 +42,18 @@
     if (!isOpen.getAsBoolean()) {
       return Optional.of(Reason.DRAINING);
     }
-    return isFresh.getAsBoolean() ? Optional.empty() : Optional.of(Reason.STALE_STATE);
+    return follower.isFresh() ? Optional.empty() : Optional.of(Reason.STALE_STATE);
   }
 
-  /** Returns the caller of a request; fails with a refusal when the entry may not process it. */
+  /**
+   * Returns the caller of a request, after a wait if the proof of fresh state has just expired;
+   * fails with a refusal when the entry may not process the request.
+   */
   Mono<Caller> caller(Exchange exchange) {
+    return follower.awaitFresh().flatMap(fresh -> callerNow(exchange));
+  }
+
+  private Mono<Caller> callerNow(Exchange exchange) {
     return closedReason()
         .<Either<Reason, Caller>>map(Either::left)
         .orElseGet(() -> authenticator.caller(exchange.request(), KeyRole.CALLER))
--- a/entry/src/main/java/org/endivemux/entry/Entry.java
+++ b/entry/src/main/java/org/endivemux/entry/Entry.java
@@ -65,8 +65,7 @@
     this.limits = limits;
     this.authenticator = new Authenticator(follower::view, bootstrapOperator);
     Counters counters = new Counters(metrics);
-    Admission admission =
-        new Admission(authenticator, () -> declared, follower::isFresh, lifecycle::isOpen);
+    Admission admission = new Admission(authenticator, () -> declared, follower, lifecycle::isOpen);
     AttemptRunner attempts =
         new AttemptRunner(dispatcher, new RetryBudget(), counters, clocks::nanos);
     BackendClient client = new BackendClient(limits, counters);
--- a/integration/src/test/java/org/endivemux/integration/KeyTest.java
+++ b/integration/src/test/java/org/endivemux/integration/KeyTest.java
@@ -61,6 +61,19 @@
     }
   }
 
+  @Example
+  void requestIsHeldUntilTheNextProofWhenTheLastOneHasJustExpired() {
+    try (Cluster cluster = Cluster.started(3, 1)) {
+      String key = cluster.key("eggs");
+      Vm entry = cluster.vms.get(3);
+      cluster.linksFrom(entry, Mode.SILENT);
+      Await.until("the entry is not ready", () -> !Cluster.isReady(entry));
+      cluster.linksFrom(entry, Mode.PASS);
+      Http.Response held = Cluster.chat(entry, key, 1, false);
+      assertThat(held.status()).as(held.body()).isEqualTo(200);
+    }
+  }
+
   @Example
   void frozenEntryDoesNotServeFromStaleStateAfterResuming() {
     try (Cluster cluster = Cluster.started()) {
