--- a/entry/src/main/java/org/endivemux/entry/AtMostOnce.java
+++ b/entry/src/main/java/org/endivemux/entry/AtMostOnce.java
@@ -11,6 +11,7 @@
 import org.endivemux.control.message.ControlReply;
 import org.endivemux.control.message.ControlRequest;
 import org.endivemux.control.state.ClaimOwner;
+import org.endivemux.control.state.ClaimState;
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.CommandResult;
 import org.endivemux.model.Bytes;
@@ -106,6 +107,7 @@
         notRun
             ? new Command.ReleaseClaim(call.organisation(), call.key(), call.owner())
             : new Command.MarkOutcomeUnknown(call.organisation(), call.key(), call.owner());
+    logClosing(call, notRun ? ClaimState.RELEASED : ClaimState.UNKNOWN, error.toString());
     submitUntilRecorded(command);
     return notRun
         ? submit(command, limits.control()).onErrorResume(ignored -> Mono.empty())
@@ -114,11 +116,13 @@
 
   private Mono<BufferedResponse> recordOutcome(Call call, BufferedResponse response) {
     if (response.body().length > limits.outcomeBytes()) {
+      logClosing(call, ClaimState.UNKNOWN, "the response is too long");
       submitUntilRecorded(
           new Command.MarkOutcomeUnknown(call.organisation(), call.key(), call.owner()));
       return Mono.error(
           new RefusedException(Reason.OUTCOME_LOST, "The response is too long to be recorded."));
     }
+    logClosing(call, ClaimState.DONE, "status " + response.status());
     Command finish =
         new Command.FinishClaim(call.organisation(), call.key(), call.owner(), outcome(response));
     return submit(finish, limits.control())
@@ -127,6 +131,13 @@
         .thenReturn(response);
   }
 
+  /** Logs how a call ended, which its caller may no longer be there to learn. */
+  private static void logClosing(Call call, ClaimState state, String cause) {
+    logger.atInfo().log(
+        "event=claim_closing request=%s state=%s cause=\"%s\"",
+        call.owner().request(), state, cause);
+  }
+
   private static Outcome outcome(BufferedResponse response) {
     String contentType =
         Optional.ofNullable(response.headers().get(HttpHeaderNames.CONTENT_TYPE))
