Read what arrived while the VM was frozen before a response timeout takes effect

Cause: after a suspension the event loop runs the timers that are due before it reads its sockets. A sale whose response had arrived in the meantime was answered 504 and recorded as UNKNOWN, though the outcome was there to be read.

Change: FirstByteTimeout replaces the HTTP library's timer in the entry.

--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
+import org.endivemux.wire.FirstByteTimeout;
 import org.endivemux.wire.InterimResponseLimit;
 import org.endivemux.wire.ResponseIdentity;
 import org.endivemux.wire.SendMarker;
@@ -81,13 +82,18 @@
     HttpClient client = call.repeatable() ? pooled : unpooled;
     AtomicBoolean belongsToCall = new AtomicBoolean();
     return client
-        .doOnRequest((request, connection) -> call.sendMarker().markSent())
+        .doOnRequest(
+            (request, connection) -> {
+              call.sendMarker().markSent();
+              FirstByteTimeout.start(connection, limits.firstByte());
+            })
         .doOnResponse(
-            (response, connection) ->
-                belongsToCall.set(
-                    ResponseIdentity.belongsTo(call.id().value(), requestOf(response), connection)))
+            (response, connection) -> {
+              FirstByteTimeout.end(connection);
+              belongsToCall.set(
+                  ResponseIdentity.belongsTo(call.id().value(), requestOf(response), connection));
+            })
         .headers(headers -> headers.set(call.headers()).set(Exchange.REQUEST_ID, call.id().value()))
-        .responseTimeout(limits.firstByte())
         .request(call.method())
         .uri("http://" + call.server().address() + call.path())
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(call.body())))
--- a/integration/src/test/java/org/endivemux/integration/AtMostOnceTest.java
+++ b/integration/src/test/java/org/endivemux/integration/AtMostOnceTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
@@ -10,6 +11,8 @@
 
 /** Tests that a sale runs at most once and that errors state correctly whether it ran. */
 final class AtMostOnceTest {
+  private static final Duration LONGER_THAN_FIRST_BYTE_TIMEOUT = Duration.ofMillis(4500);
+
   @Example
   void reusedKeyWithAnotherBodyAndExpiredKeysAreRefused() {
     try (Cluster cluster = Cluster.started(1, 0)) {
@@ -137,6 +140,23 @@
     }
   }
 
+  @Example
+  void responseThatArrivedWhileTheVmWasFrozenIsRecorded() throws InterruptedException {
+    try (Cluster cluster = Cluster.started(1, 0)) {
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      Vm vm = cluster.vms.get(0);
+      cluster.till.delay(800);
+      CompletableFuture<Http.Response> call = Cluster.saleAsync(vm, key, id);
+      Await.until("the sale is running", () -> cluster.till.runsOf(id) == 1);
+      vm.freeze();
+      Thread.sleep(LONGER_THAN_FIRST_BYTE_TIMEOUT.toMillis());
+      vm.thaw();
+      assertThat(call.join().status()).isEqualTo(200);
+      assertThat(outcomeState(vm, key, id)).isEqualTo("DONE");
+    }
+  }
+
   @Example
   void silentServiceTimesOutWithUnknownOutcomeAndNothingRunsWithoutAQuorum() {
     try (Cluster cluster = Cluster.started()) {
