Use one timer for each attempt instead of one for each event of its stream

Cause: a profile of an entry that serves streams showed about a sixth of the samples of its event loop in the subscription of timeouts: the timeout between events started and cancelled a timer for each event.

Change: SilenceTimeout keeps the time at which the silence becomes too long, and one timer that checks it. It takes the timeouts out of Relay.

SilenceTimeoutTest.partsStartNoFurtherTimers.

--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -201,17 +201,8 @@
                 FIRST_BYTE_TIMEOUT_PREFILLS * binding.expectedPrefillNanos()),
             (long) (route.targetMillis() * NANOS_PER_MILLI * FIRST_BYTE_TIMEOUT_TARGETS));
     long gap = Math.max(MIN_GAP_TIMEOUT_NANOS, 2 * route.gapMillis() * NANOS_PER_MILLI);
-    return parts.timeout(
-        silence(request.service(), first), part -> silence(request.service(), gap));
-  }
-
-  /**
-   * Signals the end of a timeout, but not before a repeat is left: until then waiting is better.
-   */
-  private Mono<Long> silence(ServiceName service, long nanosToWait) {
-    return Mono.delay(Duration.ofNanos(nanosToWait), timers)
-        .filter(tick -> retries.hasRepeat(service))
-        .repeatWhenEmpty(checks -> checks);
+    return new SilenceTimeout(first, gap, () -> retries.hasRepeat(request.service()), nanos, timers)
+        .guard(parts);
   }
 
   private Flux<ResponsePart> read(
