Close the link of a peer whose hello is not complete in time

Cause: a link on which bytes arrived one at a time, without a whole frame, stayed open for good: idleness is measured in bytes, so that large frames may take their time on slow links.

Change: the first frame, the hello, has to be complete within the idle timeout.

Measured: PeerServerTest, endless bytes of four kinds in place of a hello; single bytes of a frame were red before.

--- a/wire/src/main/java/org/endivemux/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivemux/wire/PeerServer.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import reactor.core.publisher.Mono;
 import reactor.netty.Connection;
@@ -14,8 +15,9 @@
 /**
  * Accepts links from other VMs.
  *
- * <p>Invariants: the first frame of a link must be a hello of the same protocol version, or the
- * link is closed; a link without a frame for {@link LinkTiming#idleTimeout} is closed. Thread-safe.
+ * <p>Invariants: the first frame of a link must be a hello of the same protocol version and be
+ * complete within {@link LinkTiming#idleTimeout}, or the link is closed; a link on which nothing
+ * arrives for as long is closed. Thread-safe.
  */
 public final class PeerServer {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -55,6 +57,20 @@
     connection.onReadIdle(timing.idleTimeout().toMillis(), connection::dispose);
     AtomicReference<Hello> hello = new AtomicReference<>();
     Frames.receive(connection, metrics, frame -> onFrame(connection.channel(), hello, frame));
+    var unused =
+        connection
+            .channel()
+            .eventLoop()
+            .schedule(
+                () -> closeWithoutHello(connection.channel(), hello),
+                timing.idleTimeout().toMillis(),
+                TimeUnit.MILLISECONDS);
+  }
+
+  private static void closeWithoutHello(Channel channel, AtomicReference<Hello> hello) {
+    if (hello.get() == null) {
+      var unused = channel.close();
+    }
   }
 
   private void onFrame(Channel channel, AtomicReference<Hello> hello, Frame frame) {
--- /dev/null
+++ b/wire/src/test/java/org/endivemux/wire/PeerServerTest.java
@@ -0,0 +1,105 @@
+package org.endivemux.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.Unpooled;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.tcp.TcpClient;
+
+/** Tests that bytes without end from an unknown peer are bounded and close its link. */
+final class PeerServerTest {
+  private static final Duration MAX_WAIT = Duration.ofSeconds(30);
+
+  /** One frame of the largest size, and what socket buffers hold. */
+  private static final long MAX_BYTES_TAKEN = Frame.MAX_BYTES + (64L << 20);
+
+  private static final int FILLER_BYTES = 1 << 14;
+
+  /** Lists what a peer sends in place of a hello, without end. */
+  enum Sent {
+    TOO_LONG_FRAME(lengthOf(Integer.MAX_VALUE), Duration.ZERO, FILLER_BYTES),
+    LONGEST_FRAME(lengthOf(Frame.MAX_BYTES), Duration.ZERO, FILLER_BYTES),
+    EMPTY_FRAMES(new byte[0], Duration.ZERO, FILLER_BYTES),
+    SINGLE_BYTES_OF_A_FRAME(lengthOf(100_000), Duration.ofMillis(50), 1);
+
+    private final byte[] start;
+    private final Duration pause;
+    private final int partBytes;
+
+    Sent(byte[] start, Duration pause, int partBytes) {
+      this.start = start;
+      this.pause = pause;
+      this.partBytes = partBytes;
+    }
+
+    private Flux<byte[]> parts() {
+      Flux<byte[]> parts = Flux.generate(sink -> sink.next(new byte[partBytes]));
+      return pause.isZero() ? parts : parts.delayElements(pause);
+    }
+  }
+
+  @Property(tries = 4)
+  void endlessBytesOfAnUnknownPeerCloseItsLink(@ForAll Sent sent) throws InterruptedException {
+    CountDownLatch closed = new CountDownLatch(1);
+    AtomicLong bytesTaken = new AtomicLong();
+    DisposableServer server = startServer();
+    TcpClient.create()
+        .remoteAddress(() -> new InetSocketAddress("127.0.0.1", portOf(server)))
+        .doOnConnected(connection -> connection.onDispose(closed::countDown))
+        .handle(
+            (in, out) ->
+                out.sendByteArray(Mono.just(sent.start))
+                    .send(
+                        sent.parts()
+                            .doOnNext(part -> bytesTaken.addAndGet(part.length))
+                            .map(Unpooled::wrappedBuffer),
+                        buffer -> true))
+        .connect()
+        .subscribe();
+    assertThat(closed.await(MAX_WAIT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+    assertThat(bytesTaken.get()).isLessThan(MAX_BYTES_TAKEN);
+    server.disposeNow();
+  }
+
+  private static byte[] lengthOf(int bytes) {
+    return ByteBuffer.allocate(Frame.LENGTH_BYTES).putInt(bytes).array();
+  }
+
+  private static int portOf(DisposableServer server) {
+    return ((InetSocketAddress) server.address()).getPort();
+  }
+
+  private static DisposableServer startServer() {
+    return new PeerServer(
+            new InetSocketAddress("127.0.0.1", 0),
+            new RefusingHandler(),
+            PeerSecurity.none(),
+            LinkTiming.standard(),
+            LinkMetrics.of(new MetricRegistry()))
+        .start();
+  }
+
+  /** Fails the test's peer if its frames are ever handled. */
+  private static final class RefusingHandler implements PeerHandler {
+    @Override
+    public void onMessage(Hello from, byte[] payload) {
+      throw new AssertionError("A message of an unknown peer was handled.");
+    }
+
+    @Override
+    public Mono<byte[]> onRequest(Hello from, byte[] payload) {
+      return Mono.error(new AssertionError("A request of an unknown peer was handled."));
+    }
+  }
+}
