--- a/wire/src/test/java/org/endivemux/wire/PeerServerTest.java
+++ b/wire/src/test/java/org/endivemux/wire/PeerServerTest.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.buffer.Unpooled;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -28,17 +29,17 @@
 
   /** Lists what a peer sends in place of a hello, without end. */
   enum Sent {
-    TOO_LONG_FRAME(lengthOf(Integer.MAX_VALUE), Duration.ZERO, FILLER_BYTES),
-    LONGEST_FRAME(lengthOf(Frame.MAX_BYTES), Duration.ZERO, FILLER_BYTES),
-    EMPTY_FRAMES(new byte[0], Duration.ZERO, FILLER_BYTES),
-    SINGLE_BYTES_OF_A_FRAME(lengthOf(100_000), Duration.ofMillis(50), 1);
+    TOO_LONG_FRAME(Integer.MAX_VALUE, Duration.ZERO, FILLER_BYTES),
+    LONGEST_FRAME(Frame.MAX_BYTES, Duration.ZERO, FILLER_BYTES),
+    EMPTY_FRAMES(0, Duration.ZERO, FILLER_BYTES),
+    SINGLE_BYTES_OF_A_FRAME(100_000, Duration.ofMillis(50), 1);
 
-    private final byte[] start;
+    private final int statedFrameBytes;
     private final Duration pause;
     private final int partBytes;
 
-    Sent(byte[] start, Duration pause, int partBytes) {
-      this.start = start;
+    Sent(int statedFrameBytes, Duration pause, int partBytes) {
+      this.statedFrameBytes = statedFrameBytes;
       this.pause = pause;
       this.partBytes = partBytes;
     }
@@ -55,11 +56,12 @@
     AtomicLong bytesTaken = new AtomicLong();
     DisposableServer server = startServer();
     TcpClient.create()
-        .remoteAddress(() -> new InetSocketAddress("127.0.0.1", portOf(server)))
+        .remoteAddress(
+            () -> new InetSocketAddress(InetAddress.getLoopbackAddress(), portOf(server)))
         .doOnConnected(connection -> connection.onDispose(closed::countDown))
         .handle(
             (in, out) ->
-                out.sendByteArray(Mono.just(sent.start))
+                out.sendByteArray(Mono.just(lengthOf(sent.statedFrameBytes)))
                     .send(
                         sent.parts()
                             .doOnNext(part -> bytesTaken.addAndGet(part.length))
@@ -82,7 +84,7 @@
 
   private static DisposableServer startServer() {
     return new PeerServer(
-            new InetSocketAddress("127.0.0.1", 0),
+            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
             new RefusingHandler(),
             PeerSecurity.none(),
             LinkTiming.standard(),
