--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -50,7 +50,10 @@
   private final Clocks clocks;
   private final SuspensionGuard guard;
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+
+  /** Emits the leader's term for each poll that proved the view fresh. */
   private final Sinks.Many<Long> proofs = Sinks.many().multicast().directBestEffort();
+
   private volatile State state;
   private volatile Disposable polling = () -> {};
   private volatile long usageDueAtNanos;
@@ -169,17 +172,20 @@
    * ago, otherwise as soon as a new proof arrives or the wait for one ends.
    */
   public Mono<Boolean> awaitFresh() {
-    return Mono.defer(
-        () -> {
-          long waitNanos = state.freshUntilNanos() + RENEWAL_WAIT.toNanos() - clocks.nanos();
-          return isFresh() || waitNanos <= 0
-              ? Mono.just(isFresh())
-              : Flux.merge(proofs.asFlux(), Mono.just(0L))
-                  .filter(proof -> isFresh())
-                  .next()
-                  .hasElement()
-                  .timeout(Duration.ofNanos(waitNanos), Mono.fromSupplier(this::isFresh));
-        });
+    return Mono.defer(() -> isFresh() ? Mono.just(true) : awaitProof());
+  }
+
+  private Mono<Boolean> awaitProof() {
+    long waitNanos = state.freshUntilNanos() + RENEWAL_WAIT.toNanos() - clocks.nanos();
+    if (waitNanos <= 0) {
+      return Mono.just(false);
+    }
+    // The second source catches a proof that arrived just before the subscription.
+    return Flux.merge(proofs.asFlux(), Mono.just(0L))
+        .filter(proof -> isFresh())
+        .next()
+        .hasElement()
+        .timeout(Duration.ofNanos(waitNanos), Mono.fromSupplier(this::isFresh));
   }
 
   /** Adds a listener for changes of the view; it must not block. */
