Cancel attempts that are ended by a timeout or by the end of a request's time

Cause: takeUntilOther does not cancel its source when its other source fails. With SilenceTimeout a silent attempt went on beside its repeat and marked the head and events of the stream as delivered; its repeat left them out. The end of a request's time and of a stream with a withdrawn key did not cancel the attempt either, for long: servers worked on after it.

Change: EarlyEnd.failOn, used in SilenceTimeout, Relay and ChatHandler.

Two tests red before.

--- a/entry/src/main/java/org/endivemux/entry/ChatHandler.java
+++ b/entry/src/main/java/org/endivemux/entry/ChatHandler.java
@@ -12,6 +12,7 @@
 import org.endivemux.model.Reason;
 import org.endivemux.model.UsageTotals;
 import org.endivemux.routing.Job;
+import org.endivemux.wire.EarlyEnd;
 import org.endivemux.wire.sse.SseEvent;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -106,7 +107,7 @@
       Exchange exchange, UpstreamRequest upstream, Mono<Void> withdrawn) {
     ChatStream stream = new ChatStream(upstream, client, counters);
     Flux<SseEvent> events =
-        attempts.run(upstream, stream::send).takeUntilOther(endWhenWithdrawn(withdrawn));
+        EarlyEnd.failOn(attempts.run(upstream, stream::send), withdrawal(withdrawn));
     return events
         .switchOnFirst(
             (first, all) ->
@@ -117,8 +118,9 @@
         .doFinally(signal -> recordUsage(upstream, stream.tokens()));
   }
 
-  private static <T> Mono<T> endWhenWithdrawn(Mono<Void> withdrawn) {
-    return withdrawn.then(Mono.error(() -> new RefusedException(Reason.KEY_WITHDRAWN_IN_STREAM)));
+  private static Mono<RefusedException> withdrawal(Mono<Void> withdrawn) {
+    return withdrawn.then(
+        Mono.fromSupplier(() -> new RefusedException(Reason.KEY_WITHDRAWN_IN_STREAM)));
   }
 
   private Mono<Void> relay(Exchange exchange, UpstreamRequest upstream, Flux<SseEvent> events) {
@@ -154,11 +156,11 @@
 
   private Mono<Void> respondBuffered(
       Exchange exchange, UpstreamRequest upstream, Mono<Void> withdrawn) {
-    return attempts
-        .run(
+    Flux<BufferedResponse> responses =
+        attempts.run(
             upstream,
-            (assignment, attempt) -> BufferedResponse.send(client, upstream, assignment, attempt))
-        .takeUntilOther(endWhenWithdrawn(withdrawn))
+            (assignment, attempt) -> BufferedResponse.send(client, upstream, assignment, attempt));
+    return EarlyEnd.failOn(responses, withdrawal(withdrawn))
         .next()
         .flatMap(response -> respond(exchange, upstream, response));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -27,6 +27,7 @@
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.wire.BoundedBytes;
+import org.endivemux.wire.EarlyEnd;
 import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -114,9 +115,9 @@
     Progress progress = new Progress(request.head().resumeAfter());
     retries.requested(request.service());
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
-    return attempt(request, body, progress)
-        .takeUntilOther(
-            Mono.delay(timeLeft, timers).flatMap(tick -> Mono.error(new TimeoutException())))
+    return EarlyEnd.failOn(
+            attempt(request, body, progress),
+            Mono.delay(timeLeft, timers).map(tick -> new TimeoutException()))
         .onErrorResume(error -> finalResponse(progress, error));
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/SilenceTimeout.java
+++ b/gateway/src/main/java/org/endivemux/gateway/SilenceTimeout.java
@@ -4,12 +4,13 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.endivemux.wire.EarlyEnd;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Ends an attempt with a {@link TimeoutException} when its server is silent for too long.
+ * Cancels an attempt with a {@link TimeoutException} when its server is silent for too long.
  *
  * <p>Invariants: the attempt goes on while no repeat is left, since waiting is better then; it has
  * one timer, however many parts its response has. Used for one attempt. Thread-safe.
@@ -46,7 +47,7 @@
     return Flux.defer(
         () -> {
           extend(firstPartNanos);
-          return response.doOnNext(part -> extend(gapNanos)).takeUntilOther(silence());
+          return EarlyEnd.failOn(response.doOnNext(part -> extend(gapNanos)), silence());
         });
   }
 
@@ -54,11 +55,11 @@
     dueAtNanos = nanos.getAsLong() + waitNanos;
   }
 
-  private Mono<Long> silence() {
+  private Mono<TimeoutException> silence() {
     return Mono.defer(() -> Mono.delay(Duration.ofNanos(dueAtNanos - nanos.getAsLong()), timers))
         .filter(tick -> isDue())
         .repeatWhenEmpty(checks -> checks)
-        .flatMap(tick -> Mono.error(new TimeoutException("The server has been silent.")));
+        .map(tick -> new TimeoutException("The server has been silent."));
   }
 
   private boolean isDue() {
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -262,6 +263,18 @@
         .isEqualTo(Reason.BACKEND_TIMEOUT);
   }
 
+  @Example
+  void attemptIsCancelledAtTheEndOfTheRequestsTime() {
+    AtomicBoolean isCancelled = new AtomicBoolean();
+    ScriptedBackend backend =
+        new ScriptedBackend()
+            .then(
+                call -> Flux.<BackendPort.Response>never().doOnCancel(() -> isCancelled.set(true)));
+    HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    refusal(run(backend, route, Duration.ofMillis(300)));
+    assertThat(isCancelled).isTrue();
+  }
+
   private static ScriptedBackend respondsAfterMillis(long millis) {
     return new ScriptedBackend()
         .then(
--- a/gateway/src/test/java/org/endivemux/gateway/SilenceTimeoutTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/SilenceTimeoutTest.java
@@ -41,6 +41,7 @@
     assertThat(errors).isEmpty();
     time.advanceTimeBy(Duration.ofMillis(1));
     assertThat(errors).hasOnlyElementsOfType(TimeoutException.class).hasSize(1);
+    assertThat(response.currentSubscriberCount()).as("the attempt is cancelled").isZero();
   }
 
   @Example
