Wait for the first byte from the end of the request, and a whole wait again without a repeat

FirstByteTimeout started before the body was sent, so that a slow upload counted as the server's silence; the timer that it replaced started after it. SilenceTimeout looked again after a gap when no repeat was left before the first part; the operator that it replaced waited for as long again. Neither change was meant or had a test.

Change: the timeout starts after the request; the wait has its length again. The test with a frozen VM waits on its call instead of sleeping.

Measured: BackendClientTest and SilenceTimeoutTest.attemptGoesOnForAnotherWholeWait..., both red before.

--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -38,8 +38,9 @@
   private static final Duration USAGE_INTERVAL_PER_ENTRY = Duration.ofMillis(2);
 
   /**
-   * How long after its proof of freshness expired an entry holds requests for the next proof. It
-   * covers the election of a new leader and one poll that was sent to the old one.
+   * How long after its proof of freshness expired, or after its start, an entry holds requests for
+   * the next proof. It covers the election of a new leader and one poll that was sent to the old
+   * one.
    */
   private static final Duration RENEWAL_WAIT = EntryRegistry.FRESHNESS;
 
@@ -51,7 +52,7 @@
   private final SuspensionGuard guard;
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
-  /** Emits the leader's term for each poll that proved the view fresh. */
+  /** Emits the leader's term for each reply; the view is fresh then unless the VM was suspended. */
   private final Sinks.Many<Long> proofs = Sinks.many().multicast().directBestEffort();
 
   private volatile State state;
--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -82,11 +82,9 @@
     HttpClient client = call.repeatable() ? pooled : unpooled;
     AtomicBoolean belongsToCall = new AtomicBoolean();
     return client
-        .doOnRequest(
-            (request, connection) -> {
-              call.sendMarker().markSent();
-              FirstByteTimeout.start(connection, limits.firstByte());
-            })
+        .doOnRequest((request, connection) -> call.sendMarker().markSent())
+        .doAfterRequest(
+            (request, connection) -> FirstByteTimeout.start(connection, limits.firstByte()))
         .doOnResponse(
             (response, connection) -> {
               FirstByteTimeout.end(connection);
--- a/gateway/src/main/java/org/endivemux/gateway/SilenceTimeout.java
+++ b/gateway/src/main/java/org/endivemux/gateway/SilenceTimeout.java
@@ -21,10 +21,12 @@
   private final BooleanSupplier hasRepeat;
   private final LongSupplier nanos;
   private final Scheduler timers;
+  private volatile long waitNanos;
   private volatile long dueAtNanos;
 
   /**
-   * Creates a timeout.
+   * Creates a timeout. When no repeat is left at the end of a wait, another wait of the same length
+   * follows.
    *
    * @param firstPartNanos longest silence before the first part of the response
    * @param gapNanos longest silence after each part
@@ -46,13 +48,14 @@
   <T> Flux<T> guard(Flux<T> response) {
     return Flux.defer(
         () -> {
-          extend(firstPartNanos);
-          return EarlyEnd.failOn(response.doOnNext(part -> extend(gapNanos)), silence());
+          startWait(firstPartNanos);
+          return EarlyEnd.failOn(response.doOnNext(part -> startWait(gapNanos)), silence());
         });
   }
 
-  private void extend(long waitNanos) {
-    dueAtNanos = nanos.getAsLong() + waitNanos;
+  private void startWait(long lengthNanos) {
+    waitNanos = lengthNanos;
+    dueAtNanos = nanos.getAsLong() + lengthNanos;
   }
 
   private Mono<TimeoutException> silence() {
@@ -65,7 +68,7 @@
   private boolean isDue() {
     boolean expired = dueAtNanos - nanos.getAsLong() <= 0;
     if (expired && !hasRepeat.getAsBoolean()) {
-      extend(gapNanos);
+      startWait(waitNanos);
       return false;
     }
     return expired;
--- a/gateway/src/test/java/org/endivemux/gateway/SilenceTimeoutTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/SilenceTimeoutTest.java
@@ -62,12 +62,13 @@
   }
 
   @Example
-  void attemptGoesOnWhileNoRepeatIsLeft() {
+  void attemptGoesOnForAnotherWholeWaitWhileNoRepeatIsLeft() {
     hasRepeat = false;
     time.advanceTimeBy(FIRST.multipliedBy(3));
-    assertThat(errors).isEmpty();
     hasRepeat = true;
-    time.advanceTimeBy(GAP);
+    time.advanceTimeBy(FIRST.minusMillis(1));
+    assertThat(errors).isEmpty();
+    time.advanceTimeBy(Duration.ofMillis(1));
     assertThat(errors).hasOnlyElementsOfType(TimeoutException.class).hasSize(1);
   }
 
--- a/integration/src/test/java/org/endivemux/integration/AtMostOnceTest.java
+++ b/integration/src/test/java/org/endivemux/integration/AtMostOnceTest.java
@@ -1,17 +1,20 @@
 package org.endivemux.integration;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import net.jqwik.api.Example;
 import org.endivemux.model.IdempotencyTime;
 import org.endivemux.testing.FaultProxy.Mode;
 
 /** Tests that a sale runs at most once and that errors state correctly whether it ran. */
 final class AtMostOnceTest {
-  private static final Duration LONGER_THAN_FIRST_BYTE_TIMEOUT = Duration.ofMillis(4500);
+  /** Longer than the cluster's timeout for the first byte. */
+  private static final long FROZEN_MILLIS = 4500;
 
   @Example
   void reusedKeyWithAnotherBodyAndExpiredKeysAreRefused() {
@@ -141,7 +144,7 @@
   }
 
   @Example
-  void responseThatArrivedWhileTheVmWasFrozenIsRecorded() throws InterruptedException {
+  void responseThatArrivedWhileTheVmWasFrozenIsRecorded() {
     try (Cluster cluster = Cluster.started(1, 0)) {
       String key = cluster.key("eggs");
       String id = Cluster.newIdempotencyKey();
@@ -150,7 +153,8 @@
       CompletableFuture<Http.Response> call = Cluster.saleAsync(vm, key, id);
       Await.until("the sale is running", () -> cluster.till.runsOf(id) == 1);
       vm.freeze();
-      Thread.sleep(LONGER_THAN_FIRST_BYTE_TIMEOUT.toMillis());
+      assertThatThrownBy(() -> call.get(FROZEN_MILLIS, TimeUnit.MILLISECONDS))
+          .isInstanceOf(TimeoutException.class);
       vm.thaw();
       assertThat(call.join().status()).isEqualTo(200);
       assertThat(outcomeState(vm, key, id)).isEqualTo("DONE");
--- a/wire/src/main/java/org/endivemux/wire/EarlyEnd.java
+++ b/wire/src/main/java/org/endivemux/wire/EarlyEnd.java
@@ -13,6 +13,8 @@
    * Cancels the source and fails with the throwable that {@code failure} emits, unless the source
    * ends first. The operator {@code takeUntilOther} alone does not cancel its source when the other
    * one fails, so the source would go on unobserved.
+   *
+   * @param failure emits the throwable, or never ends
    */
   public static <T> Flux<T> failOn(Flux<T> source, Mono<? extends Throwable> failure) {
     return Flux.defer(
--- a/wire/src/main/java/org/endivemux/wire/FirstByteTimeout.java
+++ b/wire/src/main/java/org/endivemux/wire/FirstByteTimeout.java
@@ -27,7 +27,7 @@
     super(limit.toMillis(), TimeUnit.MILLISECONDS);
   }
 
-  /** Starts the timeout of a call that is sent on the connection. */
+  /** Starts the timeout of a call that has been sent on the connection. */
   public static void start(Connection connection, Duration limit) {
     connection.addHandlerFirst(NAME, new FirstByteTimeout(limit));
   }
