Log large replies to entries and the first view of an entry

Cause: for the incident of late configurations the logs say that polls fail, not why. Change: event=large_reply and a histogram of reply sizes on the leader, event=first_view on the entry.

--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -135,6 +135,11 @@
           "event=view_reverted have=%d offered=%d", before.view().revision(), view.revision());
       return;
     }
+    if (before.view().revision() == 0 && view.revision() > 0) {
+      logger.atInfo().log(
+          "event=first_view revision=%d changes=%d whole=%s",
+          view.revision(), reply.changes().size(), reply.whole().isPresent());
+    }
     boolean suspended = guard.ranAhead();
     state =
         new State(
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -210,7 +210,7 @@
 
   /** Opens the ports and starts all components; throws if a port is in use. */
   public Daemon start() {
-    PeerRouter router = new PeerRouter(voter, service, dispatcher);
+    PeerRouter router = new PeerRouter(voter, service, dispatcher, metrics);
     PeerServer peers =
         new PeerServer(settings.peerAddress(), router, security, LinkTiming.relaxed(), linkMetrics);
     peers.start();
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
@@ -87,7 +87,8 @@
   GatewayDaemon start() {
     LoadDigests loads = entry.<LoadDigests>map(GatewayEntry::loads).orElseGet(NoLoad::new);
     PeerRouter router =
-        new PeerRouter(voter.map(GatewayVoter::voter), voter.map(GatewayVoter::service), loads);
+        new PeerRouter(
+            voter.map(GatewayVoter::voter), voter.map(GatewayVoter::service), loads, metrics);
     new PeerServer(
             settings.peerListenAddress(),
             router,
--- a/daemon/src/main/java/org/endivemux/daemon/PeerRouter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/PeerRouter.java
@@ -1,5 +1,7 @@
 package org.endivemux.daemon;
 
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
 import java.util.Optional;
@@ -20,14 +22,23 @@
 final class PeerRouter implements PeerHandler {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** A reply of this size takes a noticeable part of the time that a poll may take. */
+  private static final int LARGE_REPLY_BYTES = 1 << 20;
+
   private final Optional<Voter> voter;
   private final Optional<ControlService> service;
   private final LoadDigests loads;
+  private final Histogram replyBytes;
 
-  PeerRouter(Optional<Voter> voter, Optional<ControlService> service, LoadDigests loads) {
+  PeerRouter(
+      Optional<Voter> voter,
+      Optional<ControlService> service,
+      LoadDigests loads,
+      MetricRegistry metrics) {
     this.voter = voter;
     this.service = service;
     this.loads = loads;
+    this.replyBytes = metrics.histogram("control.replyBytes");
   }
 
   @Override
@@ -48,6 +59,14 @@
     return service
         .map(it -> it.handle(request))
         .orElseGet(() -> Mono.just(new ControlReply.NotLeader(Optional.empty(), List.of())))
-        .map(MessagePackCodec::encode);
+        .map(MessagePackCodec::encode)
+        .doOnNext(reply -> recordSize(from, reply));
+  }
+
+  private void recordSize(Hello from, byte[] reply) {
+    replyBytes.update(reply.length);
+    if (reply.length > LARGE_REPLY_BYTES) {
+      logger.atInfo().log("event=large_reply vm=%s bytes=%d", from.vm(), reply.length);
+    }
   }
 }
