Test, red: an entry that starts is sent every earlier configuration

Cause: EntryView changes are kept one by one, and each change of the gateway's configuration holds all of it.

--- a/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
+++ b/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
@@ -4,7 +4,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.stream.LongStream;
 import net.jqwik.api.Example;
+import org.endivemux.control.state.EntryView.NumberedChange;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.ClientLimits;
 import org.endivemux.model.gateway.GatewayConfig;
@@ -35,6 +38,33 @@
     assertThat(state.gatewayDocument()).isEqualTo("seven");
   }
 
+  /** Guards against entries that start late because they are sent every earlier configuration. */
+  @Example
+  void entryThatStartsIsSentTheNewestConfigurationOnly() {
+    LongStream.rangeClosed(1, 100).forEach(version -> put(version, "document"));
+    List<NumberedChange> news = state.changesSince(0).orElseThrow();
+    assertThat(news.size()).isEqualTo(1);
+    assertThat(EntryView.empty().applyAll(news).gateway().version()).isEqualTo(100);
+  }
+
+  /** Guards against a view that lacks changes of other kinds when configurations are left out. */
+  @Example
+  void otherChangesBetweenConfigurationsAreSent() {
+    BackendServerId server = new BackendServerId("b1");
+    put(1, "one");
+    long known = state.view().revision();
+    EntryView knownView = state.view();
+    put(2, "two");
+    apply(new Command.SetLeaving(List.of(server), true, "operator"));
+    put(3, "three");
+    EntryView started = EntryView.empty().applyAll(state.changesSince(0).orElseThrow());
+    EntryView followed = knownView.applyAll(state.changesSince(known).orElseThrow());
+    assertThat(List.of(started, followed))
+        .allMatch(view -> view.gateway().version() == 3)
+        .allMatch(view -> view.isLeaving(server))
+        .allMatch(view -> view.revision() == state.view().revision());
+  }
+
   @Example
   void configurationAndWindowsSurviveASnapshot() {
     put(3, "three");
