Send entries the newest gateway configuration only

Cause: the leader keeps up to 4,096 changes of the entries' view and sends an entry all after its revision. Each change of the gateway's configuration holds all of it, so an entry that starts after 100 changes of 436 routes is sent 11.5 MB. That takes longer than an attempt of 1.2 s; each entry asks again from the beginning, and the leader runs out of direct memory. Change: a configuration replaces all earlier ones among the changes that are kept. The newest has the whole content, so the view that an entry gets is the same; changes of other kinds stay.

--- a/control/src/main/java/org/endivemux/control/state/ControlState.java
+++ b/control/src/main/java/org/endivemux/control/state/ControlState.java
@@ -156,6 +156,9 @@
 
   private void publish(long index, ViewChange change) {
     view = view.apply(index, change);
+    if (change instanceof ViewChange.GatewayConfigured) {
+      changes.removeIf(older -> older.change() instanceof ViewChange.GatewayConfigured);
+    }
     changes.addLast(new NumberedChange(index, change));
     while (changes.size() > MAX_RETAINED_CHANGES) {
       changesAfterRevision = changes.removeFirst().revision();
@@ -167,7 +170,10 @@
     return view;
   }
 
-  /** Returns the changes after a revision, or empty when they are not all retained. */
+  /**
+   * Returns the changes that turn the view at a revision into the current one, or empty when they
+   * are not all retained. Of several gateway configurations only the newest is among them.
+   */
   public Optional<List<NumberedChange>> changesSince(long revision) {
     return revision < changesAfterRevision || revision > view.revision()
         ? Optional.empty()
--- a/control/src/main/java/org/endivemux/control/state/ViewChange.java
+++ b/control/src/main/java/org/endivemux/control/state/ViewChange.java
@@ -20,6 +20,7 @@
 
   record KeyChanged(KeyDigest digest, KeyInfo info) implements ViewChange {}
 
+  /** Replaces the gateway's configuration and so all earlier changes of it. */
   record GatewayConfigured(GatewayConfig config) implements ViewChange {}
 
   record LeavingChanged(BackendServerId backendServer, boolean leaving) implements ViewChange {}
