--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -55,6 +55,7 @@
   final Path logs = createFolder();
   private final String network = "127." + (30 + FORK) + "." + NEXT_NETWORK.getAndIncrement() + ".";
   private int enginesStarted;
+  private int engineAddressOffset;
 
   GatewayFleet(int entryCount, int engineCount) {
     platform = new PlatformStandIn(at(8, PLATFORM_PORT), witness);
@@ -117,6 +118,12 @@
     listEngines();
   }
 
+  /** Lists the backend servers at their own addresses, without the fault proxies. */
+  void bypassEngineProxies() {
+    engineAddressOffset = REAL_ADDRESS_OFFSET;
+    listEngines();
+  }
+
   /** Lists all backend servers at the platform; every second one serves the route of the tills. */
   void listEngines() {
     platform.updateServers(
@@ -126,7 +133,7 @@
                     PlatformStandIn.serverItem(
                         engines.get(i).id(),
                         i % 2 == 0 ? "till" : "llm",
-                        network + (50 + i) + ":" + ENGINE_PORT,
+                        network + (50 + i + engineAddressOffset) + ":" + ENGINE_PORT,
                         "d" + i % 3))
             .toList());
   }
