Hold back prompts with a part on which engines crash

What callers saw: sound chats and notes failed for seconds, since their engines crashed one after the other. Cause: one part of a prompt can crash each engine that begins to answer it. A crash counted against the server alone, the next request with the part went to another server, and each entry saw too few crashes to tell the part by itself. Change: an entry records the prompt parts under which a server's connections broke, asks whether the server is gone, and tells the leader with its polls. A part that was completed since, or shortly before, is left out. The leader quarantines a part when four servers crashed under it one after the other, no entry saw it completed and it explains most of the crashes. All entries then refuse prompts with it as not run (PROMPT_QUARANTINED). Single trials at growing intervals end a quarantine. Crashes at the same moment count as one, and nothing is concluded while no other prompt is completed.

--- a/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
@@ -13,6 +13,8 @@
 import org.endivemux.control.voter.SteadyWallClock;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
+import org.endivemux.model.crash.CrashNews;
+import org.endivemux.model.crash.PartVerdicts;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.WindowCount;
@@ -39,9 +41,11 @@
   private final long windowMillis;
   private final Supplier<List<ServiceLoad>> loads;
   private final Supplier<List<InFlightAt>> inFlight;
+  private final Supplier<CrashNews> crashes;
   private final TreeMap<Long, Map<OrganisationId, Long>> windows = new TreeMap<>();
   private final List<Runnable> serverListeners = new CopyOnWriteArrayList<>();
   private final List<Consumer<List<InFlightAt>>> loadListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<PartVerdicts>> verdictListeners = new CopyOnWriteArrayList<>();
   private List<GatewayServer> servers = List.of();
   private long serversNumber;
   private long leaderHeardAtNanos;
@@ -51,17 +55,20 @@
   /**
    * @param loads returns the number of requests that this process has for each service
    * @param inFlight returns what this process has in flight at each backend server
+   * @param crashes returns what this process knows of crashes of backend servers
    */
   public GatewaySyncState(
       Clocks clocks,
       long windowMillis,
       Supplier<List<ServiceLoad>> loads,
-      Supplier<List<InFlightAt>> inFlight) {
+      Supplier<List<InFlightAt>> inFlight,
+      Supplier<CrashNews> crashes) {
     this.clocks = clocks;
     this.wallClock = new SteadyWallClock(clocks);
     this.windowMillis = windowMillis;
     this.loads = loads;
     this.inFlight = inFlight;
+    this.crashes = crashes;
     this.leaderHeardAtNanos = clocks.nanos();
   }
 
@@ -82,11 +89,11 @@
   GatewayPoll poll() {
     List<ServiceLoad> currentLoads = loads.get();
     List<InFlightAt> currentInFlight = inFlight.get();
-    return poll(currentLoads, currentInFlight);
+    return poll(currentLoads, currentInFlight, crashes.get());
   }
 
   private synchronized GatewayPoll poll(
-      List<ServiceLoad> currentLoads, List<InFlightAt> currentInFlight) {
+      List<ServiceLoad> currentLoads, List<InFlightAt> currentInFlight, CrashNews currentCrashes) {
     List<WindowCount> counts =
         windows.entrySet().stream()
             .flatMap(
@@ -95,7 +102,7 @@
                         .map(e -> new WindowCount(window.getKey(), e.getKey(), e.getValue())))
             .toList();
     return new GatewayPoll(
-        serversNumber, counts, wallClock.millis(), currentLoads, currentInFlight);
+        serversNumber, counts, wallClock.millis(), currentLoads, currentInFlight, currentCrashes);
   }
 
   void applyReply(GatewayPollReply reply) {
@@ -107,7 +114,12 @@
       List<GatewayServer> previous = servers;
       servers = reply.servers().map(update -> update.applyTo(previous)).orElse(previous);
     }
-    reply.inFlight().ifPresent(others -> loadListeners.forEach(it -> it.accept(others)));
+    reply
+        .inFlight()
+        .ifPresent(others -> loadListeners.forEach(listener -> listener.accept(others)));
+    reply
+        .verdicts()
+        .ifPresent(verdicts -> verdictListeners.forEach(listener -> listener.accept(verdicts)));
     if (changed) {
       serverListeners.forEach(Runnable::run);
     }
@@ -146,6 +158,11 @@
     loadListeners.add(listener);
   }
 
+  /** Adds a listener for the leader's verdicts about prompt parts; it must not block. */
+  public void onVerdicts(Consumer<PartVerdicts> listener) {
+    verdictListeners.add(listener);
+  }
+
   /** Adds a listener for changes of the list of backend servers; it must not block. */
   public void onServersChanged(Runnable listener) {
     serverListeners.add(listener);
--- a/control/src/main/java/org/endivemux/control/message/ControlReply.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -14,6 +14,7 @@
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.VmId;
+import org.endivemux.model.crash.PartVerdicts;
 import org.endivemux.model.gateway.ServerListUpdate;
 
 /** Reply of a voter to a {@link ControlRequest}. All kinds are immutable and thread-safe. */
@@ -52,14 +53,18 @@
    * @param voters VMs that may lead
    * @param inFlight what all other entries have in flight, when there are too many entries for them
    *     to exchange it directly
+   * @param verdicts conclusions from crashes of backend servers, when the entry's are out of date
    */
   record GatewayPollReply(
       long serversNumber,
       Optional<ServerListUpdate> servers,
       long millis,
       List<VmId> voters,
-      Optional<List<InFlightAt>> inFlight) {
+      Optional<List<InFlightAt>> inFlight,
+      Optional<PartVerdicts> verdicts) {
     public GatewayPollReply {
+      // A leader of an earlier version sends none.
+      verdicts = verdicts == null ? Optional.empty() : verdicts;
       voters = List.copyOf(voters);
     }
   }
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -9,6 +9,7 @@
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.UsageLine;
+import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.WindowCount;
 
@@ -64,14 +65,18 @@
    * @param wallMillis the entry's wall-clock time when it sent this; 0 without a gateway
    * @param loads number of requests that the entry has for each service
    * @param inFlight what the entry has in flight at each backend server
+   * @param crashes what the entry knows of crashes of backend servers
    */
   record GatewayPoll(
       long serversNumber,
       List<WindowCount> counts,
       long wallMillis,
       List<ServiceLoad> loads,
-      List<InFlightAt> inFlight) {
+      List<InFlightAt> inFlight,
+      CrashNews crashes) {
     public GatewayPoll {
+      // A process of an earlier version sends none.
+      crashes = crashes == null ? CrashNews.none() : crashes;
       inFlight = List.copyOf(inFlight);
       counts = List.copyOf(counts);
       loads = List.copyOf(loads);
@@ -79,7 +84,7 @@
 
     /** Returns the part of an entry that has no gateway. */
     public static GatewayPoll none() {
-      return new GatewayPoll(0, List.of(), 0, List.of(), List.of());
+      return new GatewayPoll(0, List.of(), 0, List.of(), List.of(), CrashNews.none());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -17,6 +17,8 @@
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.Incarnation;
 import org.endivemux.model.VmId;
+import org.endivemux.model.crash.PartVerdicts;
+import org.endivemux.routing.fleet.PartQuarantine;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -43,6 +45,7 @@
   private final WindowCounts counts;
   private final TrueTime time;
   private final FleetLoad loads;
+  private final PartQuarantine quarantine;
   private final Sinks.Many<Boolean> changeSignal = Sinks.many().multicast().directBestEffort();
 
   public ControlService(
@@ -53,7 +56,8 @@
       ServerDirectory servers,
       WindowCounts counts,
       TrueTime time,
-      FleetLoad loads) {
+      FleetLoad loads,
+      PartQuarantine quarantine) {
     this.self = self;
     this.voter = voter;
     this.registry = registry;
@@ -62,6 +66,7 @@
     this.counts = counts;
     this.time = time;
     this.loads = loads;
+    this.quarantine = quarantine;
     voter.onViewChanged(this::wakePolls);
   }
 
@@ -143,7 +148,8 @@
     boolean upToDate =
         poll.revision() >= voter.publishedRevision()
             && poll.entriesNumber() == registry.listNumber()
-            && poll.gateway().serversNumber() == servers.number(voter.status().term());
+            && poll.gateway().serversNumber() == servers.number(voter.status().term())
+            && poll.gateway().crashes().verdictsNumber() == quarantine.number();
     Mono<ControlReply> reply = read(state -> news(state, poll));
     return upToDate
         ? changeSignal.asFlux().next().timeout(LONG_POLL_WAIT, Mono.just(true)).then(reply)
@@ -156,6 +162,17 @@
       time.observed(poll.entry().vm(), gateway.wallMillis());
       counts.add(poll.entry(), gateway.counts(), time.millis());
       loads.add(poll.entry().vm(), gateway.loads(), gateway.inFlight(), clocks.nanos());
+      recordCrashes(poll);
+    }
+  }
+
+  private void recordCrashes(ControlRequest.Poll poll) {
+    boolean changed =
+        quarantine.add(
+            poll.entry().vm(), poll.gateway().crashes(), voter.status().term(), clocks.nanos());
+    if (changed) {
+      logger.atInfo().log("event=part_verdicts quarantined=%s", quarantine.quarantined());
+      wakePolls();
     }
   }
 
@@ -178,7 +195,14 @@
         servers.updateSince(term, poll.gateway().serversNumber()),
         time.millis(),
         voters(),
-        loads.inFlightOfOthers(poll.entry().vm()));
+        loads.inFlightOfOthers(poll.entry().vm()),
+        verdicts(poll));
+  }
+
+  private Optional<PartVerdicts> verdicts(ControlRequest.Poll poll) {
+    PartVerdicts current = quarantine.verdicts(clocks.nanos());
+    boolean known = current.number() == poll.gateway().crashes().verdictsNumber();
+    return known && current.trials().isEmpty() ? Optional.empty() : Optional.of(current);
   }
 
   /** Returns the live entries. */
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -33,8 +33,10 @@
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.Incarnation;
 import org.endivemux.model.VmId;
+import org.endivemux.model.crash.CrashNews;
 import org.endivemux.routing.Scheduler;
 import org.endivemux.routing.SelectionPolicies;
+import org.endivemux.routing.fleet.PartQuarantine;
 import org.endivemux.storage.DataFolder;
 import org.endivemux.wire.Hello;
 import org.endivemux.wire.LinkMetrics;
@@ -97,16 +99,17 @@
     EntryRegistry registry = new EntryRegistry();
     this.service =
         voter.map(
-            it ->
+            ownVoter ->
                 new ControlService(
                     settings.vm(),
-                    it,
+                    ownVoter,
                     registry,
                     clocks,
                     new ServerDirectory(),
                     new WindowCounts(),
                     new TrueTime(clocks),
-                    new FleetLoad()));
+                    new FleetLoad(),
+                    new PartQuarantine()));
     this.leaderTasks = service.map(this::leaderTasks);
     Map<VmId, ControlClient.VoterClient> voterClients = voterClients();
     ControlClient control = new ControlClient(voterClients::get, settings.voters().keySet());
@@ -116,7 +119,8 @@
             control,
             this::info,
             usage,
-            new GatewaySyncState(clocks, settings.usageWindow().toMillis(), List::of, List::of),
+            new GatewaySyncState(
+                clocks, settings.usageWindow().toMillis(), List::of, List::of, CrashNews::none),
             clocks);
     Scheduler scheduler =
         new Scheduler(settings.failureDomain(), SelectionPolicies.named(settings.policy()));
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -12,6 +12,7 @@
 import org.endivemux.control.client.UsageLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.control.voter.Clocks;
+import org.endivemux.gateway.CrashWatch;
 import org.endivemux.gateway.DirectListing;
 import org.endivemux.gateway.Gateway;
 import org.endivemux.gateway.GatewayCounters;
@@ -84,8 +85,11 @@
     this.loop = loop;
     Scheduler timers = Schedulers.fromExecutorService(loop.onServer(true).next());
     this.pool = new ServerPool(new FleetScheduler(settings.domain()), clocks::nanos, timers);
+    HttpBackends backends = new HttpBackends(loop);
+    CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
     GatewaySyncState syncState =
-        new GatewaySyncState(clocks, settings.usageWindow().toMillis(), pool::loads, pool::digest);
+        new GatewaySyncState(
+            clocks, settings.usageWindow().toMillis(), pool::loads, pool::digest, crashes::news);
     syncState.onFleetLoad(pool::updateFleetLoad);
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), syncState, clocks);
@@ -94,8 +98,9 @@
         new Gateway(
             follower,
             pool,
-            new HttpBackends(loop),
+            backends,
             syncState,
+            crashes,
             counters,
             this::entryCount,
             new ServiceRetryAllowances(
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
@@ -18,6 +18,7 @@
 import org.endivemux.control.voter.WindowCounts;
 import org.endivemux.model.VmId;
 import org.endivemux.platform.PlatformApi;
+import org.endivemux.routing.fleet.PartQuarantine;
 import org.endivemux.storage.DataFolder;
 import reactor.netty.resources.LoopResources;
 
@@ -52,7 +53,15 @@
     FleetLoad loads = new FleetLoad();
     this.service =
         new ControlService(
-            self, voter, new EntryRegistry(), clocks, directory, counts, time, loads);
+            self,
+            voter,
+            new EntryRegistry(),
+            clocks,
+            directory,
+            counts,
+            time,
+            loads,
+            new PartQuarantine());
     this.leaderTasks =
         new GatewayLeaderTasks(
             voter,
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -9,6 +9,7 @@
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /**
  * Sends requests to backend servers.
@@ -21,6 +22,11 @@
   /** Sends a call and passes its response to a reader as soon as the head has arrived. */
   <T> Flux<T> send(Call call, Function<Response, Flux<T>> reader);
 
+  /**
+   * Returns whether a backend server refuses new connections; false also when that is not known.
+   */
+  Mono<Boolean> isGone(GatewayServer server);
+
   /**
    * Holds one call. Not modified after construction, except for {@code sendMarker}.
    *
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -35,6 +35,7 @@
   private final ServerPool pool;
   private final GatewayCounters counters;
   private final LongSupplier nanos;
+  private final CrashWatch crashes;
   private final Relay relay;
   private final PromptSizes promptSizes = new PromptSizes();
   private volatile RouteTable table = new RouteTable(GatewayConfig.none());
@@ -43,7 +44,8 @@
       ViewFollower follower,
       ServerPool pool,
       BackendPort backends,
-      GatewaySyncState ledger,
+      GatewaySyncState syncState,
+      CrashWatch crashes,
       GatewayCounters counters,
       IntSupplier entries,
       ServiceRetryAllowances retries,
@@ -53,10 +55,22 @@
     this.pool = pool;
     this.counters = counters;
     this.nanos = nanos;
+    this.crashes = crashes;
     this.relay =
-        new Relay(pool, backends, ledger, counters, () -> table, entries, retries, nanos, timers);
+        new Relay(
+            pool,
+            backends,
+            syncState,
+            crashes,
+            counters,
+            () -> table,
+            entries,
+            retries,
+            nanos,
+            timers);
     follower.onChange(this::viewChanged);
-    ledger.onServersChanged(() -> pool.updateServers(ledger.servers()));
+    syncState.onServersChanged(() -> pool.updateServers(syncState.servers()));
+    syncState.onVerdicts(crashes::update);
   }
 
   private void viewChanged() {
@@ -98,11 +112,14 @@
     if (needsKey && organisation.isEmpty()) {
       return refuse(head.key().isPresent() ? Reason.WRONG_KEY : Reason.NO_KEY);
     }
+    if (crashes.isHeldBack(head.prompt())) {
+      return refuse(Reason.PROMPT_QUARANTINED);
+    }
     return Either.right(admitted(head, route.get(), organisation));
   }
 
   private static Either<GatewayRefusal, AdmittedRequest> refuse(Reason reason) {
-    return Either.left(new GatewayRefusal(reason, reason.retryAfterSeconds() * 1000L));
+    return Either.left(GatewayRefusal.of(reason));
   }
 
   private AdmittedRequest admitted(
--- a/gateway/src/main/java/org/endivemux/gateway/GatewayRefusal.java
+++ b/gateway/src/main/java/org/endivemux/gateway/GatewayRefusal.java
@@ -6,9 +6,16 @@
 public final class GatewayRefusal extends RuntimeException {
   private static final long serialVersionUID = 1;
 
+  private static final long MILLIS_PER_SECOND = 1000;
+
   private final Reason reason;
   private final long retryAfterMillis;
 
+  /** Returns a refusal that asks callers to wait for the time that its reason states. */
+  static GatewayRefusal of(Reason reason) {
+    return new GatewayRefusal(reason, reason.retryAfterSeconds() * MILLIS_PER_SECOND);
+  }
+
   public GatewayRefusal(Reason reason) {
     this(reason, 0);
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -26,6 +26,7 @@
 import org.endivemux.routing.fleet.AttemptResult;
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.wire.BoundedBytes;
 import org.endivemux.wire.EarlyEnd;
 import org.endivemux.wire.SendMarker;
@@ -80,7 +81,8 @@
 
   private final ServerPool pool;
   private final BackendPort backends;
-  private final GatewaySyncState ledger;
+  private final GatewaySyncState syncState;
+  private final CrashWatch crashes;
   private final GatewayCounters counters;
   private final Supplier<RouteTable> table;
   private final IntSupplier entries;
@@ -92,7 +94,8 @@
   Relay(
       ServerPool pool,
       BackendPort backends,
-      GatewaySyncState ledger,
+      GatewaySyncState syncState,
+      CrashWatch crashes,
       GatewayCounters counters,
       Supplier<RouteTable> table,
       IntSupplier entries,
@@ -101,7 +104,8 @@
       Scheduler timers) {
     this.pool = pool;
     this.backends = backends;
-    this.ledger = ledger;
+    this.syncState = syncState;
+    this.crashes = crashes;
     this.counters = counters;
     this.table = table;
     this.entries = entries;
@@ -153,6 +157,12 @@
   private Flux<ResponsePart> send(
       AdmittedRequest request, byte[] body, Progress progress, Binding binding, SendMarker marker) {
     RequestId id = binding.job().id();
+    PromptShape prompt = request.head().prompt();
+    if (crashes.isHeldBack(prompt)) {
+      pool.release(id, AttemptResult.CANCELLED);
+      return Flux.error(GatewayRefusal.of(Reason.PROMPT_QUARANTINED));
+    }
+    crashes.sent(prompt);
     progress.startAttempt(binding.server().id(), marker);
     long sentAt = nanos.getAsLong();
     Call call =
@@ -179,7 +189,9 @@
         .send(call, response -> read(request, progress, id, sentAt, response))
         .transform(parts -> withTimeouts(request, progress, binding, parts))
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
+        .doOnComplete(() -> crashes.completed(prompt))
         .doOnError(error -> pool.release(id, AttemptFailure.endOf(error)))
+        .doOnError(error -> crashes.failed(binding.server(), prompt, error))
         .doOnCancel(() -> pool.release(id, AttemptResult.CANCELLED));
   }
 
@@ -244,7 +256,7 @@
     pool.answered(id);
     Optional<OrganisationId> organisation = request.organisation();
     if (organisation.isPresent() && progress.countOnce()) {
-      ledger.countStarted(organisation.get(), (nanos.getAsLong() - beganAt) / NANOS_PER_MILLI);
+      syncState.countStarted(organisation.get(), (nanos.getAsLong() - beganAt) / NANOS_PER_MILLI);
     }
   }
 
@@ -300,8 +312,8 @@
           new GatewayRefusal(timedOut ? Reason.BACKEND_TIMEOUT : Reason.BACKEND_FAILED));
     }
     return Flux.error(
-        error instanceof GatewayRefusal it
-            ? it
+        error instanceof GatewayRefusal refusal
+            ? refusal
             : new GatewayRefusal(
                 Reason.NOT_TAKEN,
                 ServerPool.retryAfterMillis(new RequestId("r" + attemptIds.incrementAndGet()))));
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.Example;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.control.voter.Clocks;
+import org.endivemux.model.crash.CrashNews;
 import reactor.core.publisher.Mono;
 
 /** Checks when an entry reads the platform's list itself. */
@@ -19,7 +20,8 @@
   private final AtomicLong nanos = new AtomicLong(Duration.ofHours(1).toNanos());
   private final AtomicInteger reads = new AtomicInteger();
   private final GatewaySyncState ledger =
-      new GatewaySyncState(new Clocks(nanos::get, () -> 0), 5000, List::of, List::of);
+      new GatewaySyncState(
+          new Clocks(nanos::get, () -> 0), 5000, List::of, List::of, CrashNews::none);
 
   private DirectListing listing(int entries) {
     return new DirectListing(
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -24,6 +24,7 @@
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
 import org.endivemux.model.ServerKind;
+import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.gateway.ClientLimits;
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.GatewayServer;
@@ -58,6 +59,11 @@
       calls.add(call);
       return responses.removeFirst().apply(call).concatMap(reader);
     }
+
+    @Override
+    public Mono<Boolean> isGone(GatewayServer server) {
+      return Mono.just(false);
+    }
   }
 
   private static Function<BackendPort.Call, Flux<BackendPort.Response>> responds(
@@ -153,7 +159,8 @@
         new Relay(
             pool,
             backend,
-            new GatewaySyncState(Clocks.system(), 5000, List::of, List::of),
+            new GatewaySyncState(Clocks.system(), 5000, List::of, List::of, CrashNews::none),
+            new CrashWatch(backend, System::nanoTime, Schedulers.parallel()),
             new GatewayCounters(new MetricRegistry()),
             () -> new RouteTable(config),
             () -> 1,
--- a/integration/src/test/java/org/endivemux/integration/SlopesBench.java
+++ b/integration/src/test/java/org/endivemux/integration/SlopesBench.java
@@ -195,7 +195,8 @@
     for (int size : List.of(7, 70, 370)) {
       List<EntryInfo> entries = IntStream.range(0, size).mapToObj(SlopesBench::entry).toList();
       var gatewayReply =
-          new ControlReply.GatewayPollReply(0, Optional.empty(), 0, List.of(), Optional.empty());
+          new ControlReply.GatewayPollReply(
+              0, Optional.empty(), 0, List.of(), Optional.empty(), Optional.empty());
       var poll =
           new ControlRequest.Poll(
               entry(1), 123456, 5_000_001, List.of(), ControlRequest.GatewayPoll.none());
--- a/model/src/main/java/org/endivemux/model/Reason.java
+++ b/model/src/main/java/org/endivemux/model/Reason.java
@@ -28,6 +28,8 @@
   QUEUE_FULL(503, NOT_RUN, 2, "Too many requests of this organisation wait in this class."),
   NO_CONFIG(503, NOT_RUN, 1, "This entry has no configuration yet; use another entry."),
   NOT_TAKEN(503, NOT_RUN, 1, "No backend server that was asked has taken the request."),
+  PROMPT_QUARANTINED(
+      503, NOT_RUN, 30, "Backend servers crashed on a part of this prompt; it is not sent to any."),
   TOO_LATE(503, NOT_RUN, 1, "The request can not meet its class's target any more."),
   STALE_STATE(503, NOT_RUN, 1, "This entry has no proof of fresh state; use another entry."),
   DRAINING(503, NOT_RUN, 1, "This entry is shutting down; use another entry."),
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
@@ -0,0 +1,296 @@
+package org.endivemux.routing.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.PromptPartId;
+import org.endivemux.model.VmId;
+import org.endivemux.model.crash.CrashNews;
+import org.endivemux.model.crash.CrashReport;
+import org.endivemux.model.crash.PartVerdicts;
+
+/**
+ * Finds the prompt parts on which backend servers crash, from the reports of all entries, and
+ * quarantines them.
+ *
+ * <p>A part is quarantined when several servers crashed under it, one after the other, no entry has
+ * seen a response to a prompt with it completed since, and most crashes since the first of these
+ * happened under it. Of several such parts the one under which most servers crashed is taken, and
+ * the crashes that it explains no longer speak against the others. A quarantine ends with the first
+ * completed response to a prompt with the part; trials with single prompts, at growing intervals,
+ * make that possible. Soft state: a new leader learns the quarantined parts from the entries. Does
+ * no I/O and reads no clock: monotonic nanoseconds are passed in. Thread-safe.
+ */
+public final class PartQuarantine {
+  /** Crashes under a part, one after the other, that lead to its quarantine. */
+  static final int QUARANTINE_CRASHES = 4;
+
+  /** Crashes under a part from which on entries are asked whether they saw it completed. */
+  private static final int SUSPECT_CRASHES = 2;
+
+  /**
+   * Share of all crashes that a part must explain. While servers crash often for other reasons,
+   * some sound part is cut off several times in a row by chance.
+   */
+  private static final double MIN_EXPLAINED_SHARE = 0.5;
+
+  /** Time for entries to tell that they saw a suspected part completed: more than one poll. */
+  private static final long ANSWER_WAIT_NANOS = 600_000_000L;
+
+  /**
+   * Responses that must have been completed since a crash, so that the crash is not a sign that the
+   * whole service is down.
+   */
+  private static final int MIN_OTHER_COMPLETIONS = 5;
+
+  /** Crashes within this time have a common cause, such as the loss of a failure domain. */
+  private static final long SAME_CAUSE_NANOS = 40_000_000L;
+
+  private static final long FIRST_TRIAL_NANOS = 60_000_000_000L;
+
+  /** How long after a change of the leader entries' quarantined parts are taken over. */
+  private static final long TAKEOVER_NANOS = 10_000_000_000L;
+
+  /** A silent entry's news count for no longer than the crashes that they tell of. */
+  private static final long NEWS_EXPIRY_NANOS = CrashTracker.REPORTED_NANOS;
+
+  private static final long NUMBERS_PER_TERM = 1_000_000L;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private final Map<VmId, Long> completions = new HashMap<>();
+
+  /** Completions of all entries when the leader first heard of a server's crash. */
+  private final Map<BackendServerId, Long> completionsBefore = new HashMap<>();
+
+  private long totalCompletions;
+  private final Map<VmId, ReceivedNews> news = new HashMap<>();
+  private final Map<PromptPartId, Long> completedAt = new HashMap<>();
+  private final Map<PromptPartId, Long> suspectSince = new TreeMap<>();
+  private final Map<PromptPartId, Quarantine> quarantined = new TreeMap<>();
+  private long term = -1;
+  private long termSince;
+  private long changes;
+
+  /** Adds an entry's news; returns whether the verdicts for the other entries have changed. */
+  public synchronized boolean add(VmId entry, CrashNews received, long ofTerm, long now) {
+    startTerm(ofTerm, now);
+    record(entry, received, now);
+    if (news.isEmpty() && suspectSince.isEmpty() && quarantined.isEmpty()) {
+      return false;
+    }
+    Set<PromptPartId> suspectsBefore = Set.copyOf(suspectSince.keySet());
+    Set<PromptPartId> quarantinedBefore = Set.copyOf(quarantined.keySet());
+    quarantined.entrySet().removeIf(part -> isCompletedSince(part.getKey(), part.getValue()));
+    judge(now);
+    boolean changed =
+        !suspectsBefore.equals(suspectSince.keySet())
+            || !quarantinedBefore.equals(quarantined.keySet());
+    changes += changed ? 1 : 0;
+    return changed;
+  }
+
+  private void startTerm(long ofTerm, long now) {
+    if (ofTerm != term) {
+      term = ofTerm;
+      termSince = now;
+      changes = 1;
+      news.clear();
+      completionsBefore.clear();
+      completedAt.clear();
+      suspectSince.clear();
+      quarantined.clear();
+    }
+  }
+
+  private void record(VmId entry, CrashNews received, long now) {
+    long known = completions.getOrDefault(entry, received.completions());
+    totalCompletions += Math.max(0, received.completions() - known);
+    completions.put(entry, received.completions());
+    news.values().removeIf(older -> now - older.at() > NEWS_EXPIRY_NANOS);
+    completedAt.values().removeIf(at -> now - at > NEWS_EXPIRY_NANOS);
+    if (received.crashes().isEmpty()) {
+      news.remove(entry);
+    } else {
+      news.put(entry, new ReceivedNews(received.crashes(), now));
+    }
+    received
+        .completed()
+        .forEach(
+            part ->
+                completedAt.merge(
+                    part.part(), now - part.ageMillis() * NANOS_PER_MILLI, Math::max));
+    if (now - termSince < TAKEOVER_NANOS) {
+      received.quarantined().forEach(part -> quarantine(part, now));
+    }
+  }
+
+  private void quarantine(PromptPartId part, long now) {
+    quarantined.putIfAbsent(part, new Quarantine(now));
+  }
+
+  private boolean isCompletedSince(PromptPartId part, Quarantine quarantine) {
+    return completedAt.getOrDefault(part, Long.MIN_VALUE) > quarantine.since;
+  }
+
+  private void judge(long now) {
+    List<Crash> unexplained = crashes();
+    unexplained.removeIf(crash -> !isServiceWorking(crash));
+    removeExplained(unexplained);
+    updateSuspects(unexplained, now);
+    Optional<PromptPartId> culprit = culprit(unexplained, now);
+    while (culprit.isPresent()) {
+      quarantine(culprit.get(), now);
+      removeExplained(unexplained);
+      updateSuspects(unexplained, now);
+      culprit = culprit(unexplained, now);
+    }
+  }
+
+  /** Returns the crashes, oldest first, each with the parts that were not completed since. */
+  private List<Crash> crashes() {
+    Map<BackendServerId, Crash> byServer = new HashMap<>();
+    news.values()
+        .forEach(
+            received ->
+                received
+                    .crashes()
+                    .forEach(
+                        report ->
+                            byServer
+                                .computeIfAbsent(report.server(), Crash::new)
+                                .add(report, received.at())));
+    byServer.values().forEach(crash -> crash.parts.removeIf(part -> isHarmless(part, crash)));
+    return byServer.values().stream()
+        .sorted(Comparator.comparingLong(crash -> crash.at))
+        .collect(Collectors.toCollection(ArrayList::new));
+  }
+
+  private boolean isHarmless(PromptPartId part, Crash crash) {
+    return Optional.ofNullable(completedAt.get(part))
+        .filter(at -> at > crash.at - CrashTracker.HARMLESS_NANOS)
+        .isPresent();
+  }
+
+  private boolean isServiceWorking(Crash crash) {
+    long before = completionsBefore.computeIfAbsent(crash.server, server -> totalCompletions);
+    return totalCompletions - before >= MIN_OTHER_COMPLETIONS;
+  }
+
+  private void removeExplained(List<Crash> crashes) {
+    crashes.removeIf(crash -> crash.parts.stream().anyMatch(quarantined::containsKey));
+  }
+
+  private void updateSuspects(List<Crash> crashes, long now) {
+    Set<PromptPartId> suspects =
+        parts(crashes).stream()
+            .filter(part -> crashesUnder(part, crashes) >= SUSPECT_CRASHES)
+            .collect(Collectors.toCollection(TreeSet::new));
+    suspectSince.keySet().retainAll(suspects);
+    suspects.forEach(part -> suspectSince.putIfAbsent(part, now));
+  }
+
+  private static Set<PromptPartId> parts(List<Crash> crashes) {
+    return crashes.stream().flatMap(crash -> crash.parts.stream()).collect(Collectors.toSet());
+  }
+
+  private Optional<PromptPartId> culprit(List<Crash> crashes, long now) {
+    return suspectSince.keySet().stream()
+        .max(
+            Comparator.comparingInt((PromptPartId part) -> crashesUnder(part, crashes))
+                .thenComparing(Comparator.reverseOrder()))
+        .filter(part -> now - suspectSince.get(part) >= ANSWER_WAIT_NANOS)
+        .filter(part -> explainsMost(part, crashes));
+  }
+
+  private static boolean explainsMost(PromptPartId part, List<Crash> crashes) {
+    Stream<Crash> sinceFirst = crashes.stream().dropWhile(crash -> !crash.parts.contains(part));
+    int explained = crashesUnder(part, crashes);
+    return explained >= QUARANTINE_CRASHES && explained >= MIN_EXPLAINED_SHARE * count(sinceFirst);
+  }
+
+  private static int crashesUnder(PromptPartId part, List<Crash> crashes) {
+    return count(crashes.stream().filter(crash -> crash.parts.contains(part)));
+  }
+
+  /** Returns the number of crashes, oldest first; those with a common cause count as one. */
+  private static int count(Stream<Crash> crashes) {
+    int count = 0;
+    long last = 0;
+    for (Crash crash : crashes.toList()) {
+      count += count == 0 || crash.at - last > SAME_CAUSE_NANOS ? 1 : 0;
+      last = crash.at;
+    }
+    return count;
+  }
+
+  /** Returns the verdicts for an entry, and grants it the trials that are due. */
+  public synchronized PartVerdicts verdicts(long now) {
+    return new PartVerdicts(
+        number(),
+        List.copyOf(suspectSince.keySet()),
+        List.copyOf(quarantined.keySet()),
+        quarantined.entrySet().stream()
+            .filter(part -> part.getValue().takeTrial(now))
+            .map(Map.Entry::getKey)
+            .toList());
+  }
+
+  /** Returns the number of the current verdicts; it is unique within a term. */
+  public synchronized long number() {
+    return term * NUMBERS_PER_TERM + changes;
+  }
+
+  /** Returns the quarantined parts. */
+  public synchronized List<PromptPartId> quarantined() {
+    return List.copyOf(quarantined.keySet());
+  }
+
+  private record ReceivedNews(List<CrashReport> crashes, long at) {}
+
+  /** One crash, as told by all entries; the earliest report gives its time. */
+  private static final class Crash {
+    private final Set<PromptPartId> parts = new HashSet<>();
+    private final BackendServerId server;
+    private long at = Long.MAX_VALUE;
+
+    Crash(BackendServerId server) {
+      this.server = server;
+    }
+
+    void add(CrashReport report, long receivedAt) {
+      at = Math.min(at, receivedAt - report.ageMillis() * NANOS_PER_MILLI);
+      parts.addAll(report.parts());
+    }
+  }
+
+  /** One quarantine; the time until the next trial doubles. */
+  private static final class Quarantine {
+    private final long since;
+    private long interval = FIRST_TRIAL_NANOS;
+    private long nextTrialAt;
+
+    Quarantine(long since) {
+      this.since = since;
+      this.nextTrialAt = since + interval;
+    }
+
+    boolean takeTrial(long now) {
+      boolean due = now >= nextTrialAt;
+      if (due) {
+        interval *= 2;
+        nextTrialAt = now + interval;
+      }
+      return due;
+    }
+  }
+}
