Resume a stream elsewhere when a server answers its resumption with an error

What callers saw: the error's text in the middle of their stream, or a stream cut off by an internal error. Cause: only the first attempt's status decided how a response is read. A response other than 200 to a resumed stream was taken for a plain one, and below 500 it was passed on, head and body, after the events that the caller had. Change: while the caller has a part of a stream, a response other than 200 is a failed attempt; the stream goes on at another server or ends as broken. Measured: RelayTest.errorResponseToAResumedStreamIsNotPassedOn and .streamIsResumedAtAThirdServer... for seven statuses; red before for 204, 302 and 4xx (the first tried, 204, gave '204:error text' after the first event).

--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -224,6 +224,9 @@
       return BoundedBytes.discard(response.body(), MAX_REJECTION_BYTES, MAX_REJECTION_TIME)
           .thenMany(Flux.error(new AttemptFailure.NotRun(response.addressReassigned())));
     }
+    if (progress.headDelivered() && response.status() != OK) {
+      return Flux.error(new AttemptFailure.ServerError());
+    }
     if (request.route().kind() == RequestKind.STREAM && response.status() == OK) {
       StreamReader reader =
           new StreamReader(
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -17,6 +17,8 @@
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.model.BackendServerId;
@@ -370,4 +372,48 @@
     assertThat(refusal(run(backend, route(RequestKind.STREAM, 1, false))))
         .isEqualTo(Reason.ANSWER_BROKEN);
   }
+
+  /** Guards against an error response, or its head, in the middle of a resumed stream. */
+  @Property(tries = 7)
+  void errorResponseToAResumedStreamIsNotPassedOn(@ForAll ErrorStatus status) {
+    ScriptedBackend backend =
+        new ScriptedBackend()
+            .then(breaksAfter("id: 1\ndata: a\n\n"))
+            .then(responds(status.code, false, "error text"))
+            .then(responds(status.code, false, "error text"));
+    List<ResponsePart> delivered = new ArrayList<>();
+    Flux<ResponsePart> parts =
+        run(backend, route(RequestKind.STREAM, 3, true)).doOnNext(delivered::add);
+    assertThat(refusal(parts)).isEqualTo(Reason.ANSWER_BROKEN);
+    assertThat(text(Flux.fromIterable(delivered))).isEqualTo("200:id: 1\ndata: a\n\n");
+  }
+
+  /** Guards against giving up a stream after an error that another server does not have. */
+  @Property(tries = 7)
+  void streamIsResumedAtAThirdServerWhenTheSecondRespondsWithAnError(@ForAll ErrorStatus status) {
+    ScriptedBackend backend =
+        new ScriptedBackend()
+            .then(breaksAfter("id: 1\ndata: a\n\n"))
+            .then(responds(status.code, false, "error text"))
+            .then(responds(200, false, "id: 2\ndata: b\n\n"));
+    assertThat(text(run(backend, route(RequestKind.STREAM, 3, true))))
+        .isEqualTo("200:id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }
+
+  /** Lists statuses with which a server may respond to a stream that it should resume. */
+  enum ErrorStatus {
+    NO_CONTENT(204),
+    FOUND(302),
+    BAD_REQUEST(400),
+    NOT_FOUND(404),
+    CONFLICT(409),
+    SERVER_ERROR(500),
+    UNAVAILABLE(503);
+
+    private final int code;
+
+    ErrorStatus(int code) {
+      this.code = code;
+    }
+  }
 }
