Heed servers that say that they leave, or that want no requests for a time

Cause: no module read Server-Leaving, and a 503 of a server was sent elsewhere without its Retry-After being read. Change: an entry that passes on a response with the notice sends nothing more to that server id, whatever the list says. A server that refuses with a time gets nothing for so long, up to maxServerPauseSeconds, and then a growing share of its slots. When all servers of a service are paused for longer than a request may wait, it is refused at once, to come back after the earliest end. Entries tell the leader with their polls; it hands such servers on as leaving in the list, and the planner does not count them. The retry after such a refusal is a retry like others, as before.

--- a/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
@@ -104,7 +104,10 @@
               : "no other server accepted it.");
     }
     return switch (refusal.field("reason")) {
-      case "TOO_LATE" -> "No server had room in the time that the request could wait.";
+      case "TOO_LATE" ->
+          "No server had room in the time that the request could wait; see server_paused and"
+              + " server_leaving for servers that took none.";
+      case "PROMPT_QUARANTINED" -> "Backend servers crashed on a part of its prompt.";
       case "NO_CONFIG" -> "The entry had not yet received any configuration.";
       case "UNKNOWN_ROUTE" -> "No route of the version in force matches the host and the path.";
       case "NO_KEY", "WRONG_KEY" -> "The key belongs to no organisation of the version in force.";
--- a/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
@@ -11,6 +11,7 @@
 import org.endivemux.control.message.ControlRequest.GatewayPoll;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.control.voter.SteadyWallClock;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.crash.CrashNews;
@@ -41,6 +42,7 @@
   private final long windowMillis;
   private final Supplier<List<ServiceLoad>> loads;
   private final Supplier<List<InFlightAt>> inFlight;
+  private final Supplier<List<BackendServerId>> leaving;
   private final Supplier<CrashNews> crashes;
   private final TreeMap<Long, Map<OrganisationId, Long>> windows = new TreeMap<>();
   private final List<Runnable> serverListeners = new CopyOnWriteArrayList<>();
@@ -55,6 +57,7 @@
   /**
    * @param loads returns the number of requests that this process has for each service
    * @param inFlight returns what this process has in flight at each backend server
+   * @param leaving returns the backend servers that told this process that they leave
    * @param crashes returns what this process knows of crashes of backend servers
    */
   public GatewaySyncState(
@@ -62,12 +65,14 @@
       long windowMillis,
       Supplier<List<ServiceLoad>> loads,
       Supplier<List<InFlightAt>> inFlight,
+      Supplier<List<BackendServerId>> leaving,
       Supplier<CrashNews> crashes) {
     this.clocks = clocks;
     this.wallClock = new SteadyWallClock(clocks);
     this.windowMillis = windowMillis;
     this.loads = loads;
     this.inFlight = inFlight;
+    this.leaving = leaving;
     this.crashes = crashes;
     this.leaderHeardAtNanos = clocks.nanos();
   }
@@ -89,11 +94,14 @@
   GatewayPoll poll() {
     List<ServiceLoad> currentLoads = loads.get();
     List<InFlightAt> currentInFlight = inFlight.get();
-    return poll(currentLoads, currentInFlight, crashes.get());
+    return poll(currentLoads, currentInFlight, leaving.get(), crashes.get());
   }
 
   private synchronized GatewayPoll poll(
-      List<ServiceLoad> currentLoads, List<InFlightAt> currentInFlight, CrashNews currentCrashes) {
+      List<ServiceLoad> currentLoads,
+      List<InFlightAt> currentInFlight,
+      List<BackendServerId> currentLeaving,
+      CrashNews currentCrashes) {
     List<WindowCount> counts =
         windows.entrySet().stream()
             .flatMap(
@@ -102,7 +110,13 @@
                         .map(e -> new WindowCount(window.getKey(), e.getKey(), e.getValue())))
             .toList();
     return new GatewayPoll(
-        serversNumber, counts, wallClock.millis(), currentLoads, currentInFlight, currentCrashes);
+        serversNumber,
+        counts,
+        wallClock.millis(),
+        currentLoads,
+        currentInFlight,
+        currentLeaving,
+        currentCrashes);
   }
 
   void applyReply(GatewayPollReply reply) {
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import org.endivemux.control.state.Command;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.IdempotencyKey;
 import org.endivemux.model.InFlightAt;
@@ -65,6 +66,7 @@
    * @param wallMillis the entry's wall-clock time when it sent this; 0 without a gateway
    * @param loads number of requests that the entry has for each service
    * @param inFlight what the entry has in flight at each backend server
+   * @param leaving backend servers that told the entry that they leave
    * @param crashes what the entry knows of crashes of backend servers
    */
   record GatewayPoll(
@@ -73,9 +75,11 @@
       long wallMillis,
       List<ServiceLoad> loads,
       List<InFlightAt> inFlight,
+      List<BackendServerId> leaving,
       CrashNews crashes) {
     public GatewayPoll {
-      // A process of an earlier version sends none.
+      // A process of an earlier version sends neither of these.
+      leaving = leaving == null ? List.of() : List.copyOf(leaving);
       crashes = crashes == null ? CrashNews.none() : crashes;
       inFlight = List.copyOf(inFlight);
       counts = List.copyOf(counts);
@@ -84,7 +88,7 @@
 
     /** Returns the part of an entry that has no gateway. */
     public static GatewayPoll none() {
-      return new GatewayPoll(0, List.of(), 0, List.of(), List.of(), CrashNews.none());
+      return new GatewayPoll(0, List.of(), 0, List.of(), List.of(), List.of(), CrashNews.none());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -163,6 +163,10 @@
       counts.add(poll.entry(), gateway.counts(), time.millis());
       loads.add(poll.entry().vm(), gateway.loads(), gateway.inFlight(), clocks.nanos());
       recordCrashes(poll);
+      if (servers.reportLeaving(voter.status().term(), gateway.leaving())) {
+        logger.atInfo().log("event=servers_leaving vm=%s", poll.entry().vm());
+        wakePolls();
+      }
     }
   }
 
--- a/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
@@ -1,11 +1,15 @@
 package org.endivemux.control.voter;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListUpdate;
 
@@ -27,14 +31,35 @@
   /** Updates to the current list, by the number of the list that they apply to. */
   private final Map<Long, ServerListUpdate> updates = new HashMap<>();
 
+  private final Set<BackendServerId> reportedLeaving = new HashSet<>();
   private List<GatewayServer> servers = List.of();
   private long term = -1;
   private long changes;
 
   /** Replaces the list; returns whether it differs from the previous one. */
   synchronized boolean replace(long newTerm, List<GatewayServer> read) {
+    if (newTerm != term) {
+      reportedLeaving.clear();
+    }
+    reportedLeaving.retainAll(read.stream().map(GatewayServer::id).toList());
+    return update(newTerm, read);
+  }
+
+  /**
+   * Records servers that told an entry that they leave, which the platform may list as sound for
+   * some time; returns whether the list has changed.
+   */
+  synchronized boolean reportLeaving(long ofTerm, Collection<BackendServerId> leaving) {
+    boolean isNew = ofTerm == term && reportedLeaving.addAll(leaving);
+    return isNew && update(term, servers);
+  }
+
+  private boolean update(long newTerm, List<GatewayServer> listed) {
     List<GatewayServer> ordered =
-        read.stream().sorted(Comparator.comparing(GatewayServer::id)).toList();
+        listed.stream()
+            .map(server -> reportedLeaving.contains(server.id()) ? server.asLeaving() : server)
+            .sorted(Comparator.comparing(GatewayServer::id))
+            .toList();
     boolean changed = newTerm != term || !servers.equals(ordered);
     if (changed) {
       if (newTerm != term) {
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -120,7 +120,12 @@
             this::info,
             usage,
             new GatewaySyncState(
-                clocks, settings.usageWindow().toMillis(), List::of, List::of, CrashNews::none),
+                clocks,
+                settings.usageWindow().toMillis(),
+                List::of,
+                List::of,
+                List::of,
+                CrashNews::none),
             clocks);
     Scheduler scheduler =
         new Scheduler(settings.failureDomain(), SelectionPolicies.named(settings.policy()));
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -1,5 +1,6 @@
 package org.endivemux.daemon;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.net.InetSocketAddress;
@@ -29,6 +30,7 @@
 import org.endivemux.routing.EntryAddresses;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetScheduler;
+import org.endivemux.routing.fleet.ServerNotices;
 import org.endivemux.wire.PeerLink;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -84,12 +86,22 @@
     this.settings = settings;
     this.loop = loop;
     Scheduler timers = Schedulers.fromExecutorService(loop.onServer(true).next());
-    this.pool = new ServerPool(new FleetScheduler(settings.domain()), clocks::nanos, timers);
+    ServerNotices notices = new ServerNotices(settings.maxServerPause());
+    this.pool =
+        new ServerPool(
+            new FleetScheduler(settings.domain(), notices), notices, clocks::nanos, timers);
+    metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.leaving().size());
+    metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
     HttpBackends backends = new HttpBackends(loop);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
     GatewaySyncState syncState =
         new GatewaySyncState(
-            clocks, settings.usageWindow().toMillis(), pool::loads, pool::digest, crashes::news);
+            clocks,
+            settings.usageWindow().toMillis(),
+            pool::loads,
+            pool::digest,
+            pool::leaving,
+            crashes::news);
     syncState.onFleetLoad(pool::updateFleetLoad);
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), syncState, clocks);
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -37,6 +37,9 @@
  * @param retryRatio share of the requests of a service that all entries together may retry
  * @param retrySlack retries allowed beyond that share in a window of {@code retryWindowSeconds}
  * @param drainSeconds time from the stop signal until the process is killed
+ * @param maxServerPauseSeconds longest time for which an entry sends nothing to a backend server
+ *     that asks for it; bounds the loss when a server asks for far too long by mistake; 60 if
+ *     absent
  * @param entriesLifetimeSeconds how long callers may cache the list of entries
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
@@ -59,7 +62,9 @@
     double retryWindowSeconds,
     double retrySlack,
     double drainSeconds,
+    Optional<Double> maxServerPauseSeconds,
     double entriesLifetimeSeconds) {
+  private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final ObjectMapper YAML = YAMLMapper.builder().addModule(new Jdk8Module()).build();
 
   /**
@@ -138,6 +143,10 @@
     return millis(entriesLifetimeSeconds);
   }
 
+  Duration maxServerPause() {
+    return millis(maxServerPauseSeconds.orElse(DEFAULT_MAX_SERVER_PAUSE_SECONDS));
+  }
+
   private static Duration millis(double seconds) {
     return Duration.ofMillis((long) (seconds * 1000));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -53,11 +53,15 @@
    *
    * @param notRun whether the backend server states that it did not run the request
    * @param addressReassigned whether the address now belongs to another backend server
+   * @param leaving whether the backend server states that it leaves
+   * @param pause how long the backend server wants no further requests; zero if it does not say
    */
   record Response(
       int status,
       HttpHeaders headers,
       boolean notRun,
       boolean addressReassigned,
+      boolean leaving,
+      Duration pause,
       Flux<byte[]> body) {}
 }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -17,6 +17,7 @@
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.RetryReason;
+import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.HostRoute;
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
@@ -186,7 +187,7 @@
         (sentAt - request.arrivedAt()) / NANOS_PER_MILLI,
         table.get().config().version());
     return backends
-        .send(call, response -> read(request, progress, id, sentAt, response))
+        .send(call, response -> read(request, progress, binding, sentAt, response))
         .transform(parts -> withTimeouts(request, progress, binding, parts))
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
         .doOnComplete(() -> crashes.completed(prompt))
@@ -219,7 +220,9 @@
   }
 
   private Flux<ResponsePart> read(
-      AdmittedRequest request, Progress progress, RequestId id, long sentAt, Response response) {
+      AdmittedRequest request, Progress progress, Binding binding, long sentAt, Response response) {
+    heed(binding.server(), response);
+    RequestId id = binding.job().id();
     if (response.notRun()) {
       return BoundedBytes.discard(response.body(), MAX_REJECTION_BYTES, MAX_REJECTION_TIME)
           .thenMany(Flux.error(new AttemptFailure.NotRun(response.addressReassigned())));
@@ -241,6 +244,15 @@
         .flatMapMany(bytes -> completeResponse(progress, response, bytes));
   }
 
+  private void heed(GatewayServer server, Response response) {
+    if (response.leaving()) {
+      pool.leaves(server);
+    }
+    if (!response.pause().isZero()) {
+      pool.pauses(server, response.pause());
+    }
+  }
+
   private Flux<ResponsePart> completeResponse(Progress progress, Response response, byte[] bytes) {
     HttpHeaders headers = response.headers();
     headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -1,10 +1,13 @@
 package org.endivemux.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
@@ -16,6 +19,8 @@
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.ServerNotices;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
@@ -27,17 +32,28 @@
  * once, outside the lock. Thread-safe.
  */
 public final class ServerPool implements LoadDigests {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long MIN_RETRY_AFTER_MILLIS = 250;
   private static final long RETRY_AFTER_SPREAD_MILLIS = 750;
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  /** How often waiting requests are bound while a server gets back to all of its slots. */
+  private static final Duration RESUMPTION_STEP = Duration.ofMillis(50);
 
   private final Object lock = new Object();
   private final FleetScheduler scheduler;
+  private final ServerNotices notices;
   private final LongSupplier nanos;
   private final Scheduler timers;
   private final Map<RequestId, Sinks.One<Binding>> waiting = new HashMap<>();
 
-  public ServerPool(FleetScheduler scheduler, LongSupplier nanos, Scheduler timers) {
+  /**
+   * @param notices what servers have said of themselves; the scheduler reads the same
+   */
+  public ServerPool(
+      FleetScheduler scheduler, ServerNotices notices, LongSupplier nanos, Scheduler timers) {
     this.scheduler = scheduler;
+    this.notices = notices;
     this.nanos = nanos;
     this.timers = timers;
   }
@@ -68,6 +84,11 @@
             scheduler.offer(job);
           }
           bind();
+          OptionalLong pauseEnd = pauseEndAfter(job);
+          if (pauseEnd.isPresent()) {
+            withdraw(job);
+            return Mono.error(refusedUntil(job, pauseEnd.getAsLong()));
+          }
           Duration maxWait = Duration.ofNanos(Math.max(0, job.waitDeadline() - nanos.getAsLong()));
           return sink.asMono()
               .doOnCancel(() -> withdraw(job))
@@ -75,6 +96,64 @@
         });
   }
 
+  /** Returns when servers take requests again, if a job that still waits would be too late then. */
+  private OptionalLong pauseEndAfter(FleetJob job) {
+    synchronized (lock) {
+      OptionalLong end =
+          waiting.containsKey(job.id())
+              ? scheduler.pausedUntil(job.service(), nanos.getAsLong())
+              : OptionalLong.empty();
+      return end.isPresent() && end.getAsLong() > job.waitDeadline() ? end : OptionalLong.empty();
+    }
+  }
+
+  private GatewayRefusal refusedUntil(FleetJob job, long pauseEnd) {
+    long millis = (pauseEnd - nanos.getAsLong()) / NANOS_PER_MILLI;
+    return new GatewayRefusal(Reason.TOO_LATE, Math.max(0, millis) + retryAfterMillis(job.id()));
+  }
+
+  /** Records that a server said that it leaves; it gets no further requests. */
+  void leaves(GatewayServer server) {
+    boolean isNew;
+    synchronized (lock) {
+      isNew = notices.leaves(server.id(), nanos.getAsLong());
+    }
+    if (isNew) {
+      logger.atInfo().log("event=server_leaving backend=%s", server.id());
+    }
+  }
+
+  /** Records that a server wants no requests for some time. */
+  void pauses(GatewayServer server, Duration length) {
+    long now = nanos.getAsLong();
+    Duration untilEnd;
+    synchronized (lock) {
+      untilEnd = Duration.ofNanos(notices.pauses(server.id(), length, now) - now);
+    }
+    logger.atInfo().log(
+        "event=server_paused backend=%s askedMillis=%d millis=%d",
+        server.id(), length.toMillis(), untilEnd.toMillis());
+    var unused =
+        Flux.interval(untilEnd, RESUMPTION_STEP, timers)
+            .take(ServerNotices.RESUMPTION_NANOS / RESUMPTION_STEP.toNanos() + 1)
+            .doOnComplete(() -> logger.atInfo().log("event=server_resumed backend=%s", server.id()))
+            .subscribe(step -> bind());
+  }
+
+  /** Returns the servers that have said that they leave. */
+  public List<BackendServerId> leaving() {
+    synchronized (lock) {
+      return notices.leaving();
+    }
+  }
+
+  /** Returns the number of servers that have asked for a pause which has not ended. */
+  public int pausedCount() {
+    synchronized (lock) {
+      return notices.pausedCount(nanos.getAsLong());
+    }
+  }
+
   private static GatewayRefusal tooLate(FleetJob job) {
     return new GatewayRefusal(Reason.TOO_LATE, retryAfterMillis(job.id()));
   }
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -21,7 +21,7 @@
   private final AtomicInteger reads = new AtomicInteger();
   private final GatewaySyncState ledger =
       new GatewaySyncState(
-          new Clocks(nanos::get, () -> 0), 5000, List::of, List::of, CrashNews::none);
+          new Clocks(nanos::get, () -> 0), 5000, List::of, List::of, List::of, CrashNews::none);
 
   private DirectListing listing(int entries) {
     return new DirectListing(
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -37,6 +37,7 @@
 import org.endivemux.model.gateway.Share;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.PromptShape;
+import org.endivemux.routing.fleet.ServerNotices;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
@@ -95,7 +96,8 @@
   }
 
   private static BackendPort.Response response(int status, boolean notRun, Flux<byte[]> body) {
-    return new BackendPort.Response(status, new DefaultHttpHeaders(), notRun, false, body);
+    return new BackendPort.Response(
+        status, new DefaultHttpHeaders(), notRun, false, false, Duration.ZERO, body);
   }
 
   private static Flux<byte[]> bytes(String... chunks) {
@@ -152,16 +154,21 @@
             List.of(new ServiceSpec(SERVICE, 8, Optional.empty(), Optional.empty())),
             ClientLimits.defaults(),
             List.of());
+    ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
     ServerPool pool =
         new ServerPool(
-            new FleetScheduler(new FailureDomain("a")), System::nanoTime, Schedulers.parallel());
+            new FleetScheduler(new FailureDomain("a"), notices),
+            notices,
+            System::nanoTime,
+            Schedulers.parallel());
     pool.configure(config);
     pool.updateServers(List.of(server(1), server(2), server(3)));
     Relay relay =
         new Relay(
             pool,
             backend,
-            new GatewaySyncState(Clocks.system(), 5000, List::of, List::of, CrashNews::none),
+            new GatewaySyncState(
+                Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
             new CrashWatch(backend, System::nanoTime, Schedulers.parallel()),
             new GatewayCounters(new MetricRegistry()),
             () -> new RouteTable(config),
--- a/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.endivemux.model.BackendServerId;
@@ -21,6 +23,7 @@
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.PromptShape;
+import org.endivemux.routing.fleet.ServerNotices;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
@@ -31,8 +34,10 @@
   private static final int SLOTS = 4;
 
   private final VirtualTimeScheduler time = VirtualTimeScheduler.create();
+  private final ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
   private final ServerPool pool =
-      new ServerPool(new FleetScheduler(DOMAIN), () -> time.now(TimeUnit.NANOSECONDS), time);
+      new ServerPool(
+          new FleetScheduler(DOMAIN, notices), notices, () -> time.now(TimeUnit.NANOSECONDS), time);
 
   private FleetJob job(int number) {
     return new FleetJob(
@@ -40,23 +45,14 @@
         SERVICE,
         1,
         0,
-        time.now(TimeUnit.NANOSECONDS) + Duration.ofMillis(500).toNanos(),
+        time.now(TimeUnit.NANOSECONDS) + Duration.ofMillis(800).toNanos(),
         PromptShape.none(),
         false,
         Set.of());
   }
 
   private void listOneServer() {
-    pool.updateServers(
-        List.of(
-            new GatewayServer(
-                new BackendServerId("s"),
-                SERVICE,
-                "10.0.0.1",
-                DOMAIN,
-                SLOTS,
-                false,
-                ServerKind.STEADY)));
+    pool.updateServers(List.of(server()));
   }
 
   @Example
@@ -89,6 +85,41 @@
     assertThat(pool.loads()).extracting(ServiceLoad::requests).allMatch(count -> count == 0);
   }
 
+  private static GatewayServer server() {
+    return new GatewayServer(
+        new BackendServerId("s"), SERVICE, "10.0.0.1", DOMAIN, SLOTS, false, ServerKind.STEADY);
+  }
+
+  /** Guards against requests that wait in vain for servers which have asked for a long pause. */
+  @Example
+  void requestIsRefusedAtOnceWhenAllServersArePausedForLonger() {
+    listOneServer();
+    pool.pauses(server(), Duration.ofSeconds(3));
+    AtomicReference<Throwable> error = new AtomicReference<>();
+    pool.acquire(job(1)).subscribe(binding -> {}, error::set);
+    assertThat(error.get()).isInstanceOf(GatewayRefusal.class);
+    assertThat(((GatewayRefusal) error.get()).retryAfterMillis()).isBetween(3000L, 4000L);
+    assertThat(pool.loads()).extracting(ServiceLoad::requests).allMatch(count -> count == 0);
+  }
+
+  /**
+   * Guards against requests that stay waiting after a pause, and against all of them going at once.
+   */
+  @Example
+  void waitingRequestsAreBoundInStepsAfterAPause() {
+    listOneServer();
+    pool.pauses(server(), Duration.ofMillis(200));
+    AtomicInteger bound = new AtomicInteger();
+    IntStream.range(0, SLOTS)
+        .forEach(i -> pool.acquire(job(i)).subscribe(binding -> bound.incrementAndGet()));
+    time.advanceTimeBy(Duration.ofMillis(199));
+    assertThat(bound).hasValue(0);
+    time.advanceTimeBy(Duration.ofMillis(2));
+    assertThat(bound).hasValue(1);
+    time.advanceTimeBy(Duration.ofMillis(500));
+    assertThat(bound).hasValue(SLOTS);
+  }
+
   private Optional<Binding> bound(FleetJob job) {
     return Optional.ofNullable(pool.acquire(job).toFuture().getNow(null));
   }
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
@@ -17,4 +17,10 @@
     FailureDomain failureDomain,
     int slots,
     boolean leaving,
-    ServerKind kind) {}
+    ServerKind kind) {
+
+  /** Returns the same server, which accepts no new requests. */
+  public GatewayServer asLeaving() {
+    return new GatewayServer(id, service, address, failureDomain, slots, true, kind);
+  }
+}
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -26,10 +27,11 @@
  * Binds requests to the backend servers of the listed services.
  *
  * <p>Does no I/O and reads no clock: monotonic nanoseconds are passed in. Invariants: a server that
- * is leaving or that the job avoids gets nothing, and one in backoff gets nothing while another has
- * capacity; waiting jobs are bound by urgency and then by arrival. In a fleet of many entries,
- * whose load is known as sums that are some hundred milliseconds old, only the job's preferred
- * servers and a few servers sampled by its id are compared. Not thread-safe: one caller at a time.
+ * is leaving or paused or that the job avoids gets nothing, and one in backoff gets nothing while
+ * another has capacity; waiting jobs are bound by urgency and then by arrival. In a fleet of many
+ * entries, whose load is known as sums that are some hundred milliseconds old, only the job's
+ * preferred servers and a few servers sampled by its id are compared. Not thread-safe: one caller
+ * at a time.
  */
 public final class FleetScheduler {
   private static final int DEFAULT_SLOTS = 8;
@@ -69,6 +71,7 @@
   private static final double OTHER_GROUP_PENALTY_MILLIS = 250;
 
   private final FleetCost cost;
+  private final ServerNotices notices;
   private final Map<ServiceName, ServiceSpec> specs = new HashMap<>();
   private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
@@ -91,8 +94,9 @@
       Optional<GatewayServer> copyFrom,
       long expectedPrefillNanos) {}
 
-  public FleetScheduler(FailureDomain domain) {
+  public FleetScheduler(FailureDomain domain, ServerNotices notices) {
     this.cost = new FleetCost(domain);
+    this.notices = notices;
   }
 
   /** Replaces the declared services. */
@@ -251,11 +255,24 @@
 
   private Stream<ServerLoad> serversOf(ServiceName service) {
     return servers.values().stream()
-        .filter(load -> load.server().service().equals(service) && !load.server().leaving());
+        .filter(load -> load.server().service().equals(service) && !isLeaving(load.server()));
+  }
+
+  private boolean isLeaving(GatewayServer server) {
+    return server.leaving() || notices.isLeaving(server.id());
   }
 
   private int capacity(ServerLoad load, long now) {
-    return isLarge(now) ? slots(load) * LARGE_FLEET_CAPACITY_FACTOR : slots(load);
+    int usable = notices.usableSlots(load.server().id(), slots(load), now);
+    return isLarge(now) ? usable * LARGE_FLEET_CAPACITY_FACTOR : usable;
+  }
+
+  /**
+   * Returns when the first server of a service takes requests again, or empty unless all of them
+   * have asked for a pause.
+   */
+  public OptionalLong pausedUntil(ServiceName service, long now) {
+    return notices.earliestEnd(serversOf(service).map(load -> load.server().id()).toList(), now);
   }
 
   private static int slots(ServerLoad load) {
--- a/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
@@ -1,5 +1,6 @@
 package org.endivemux.routing.fleet;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,6 +27,11 @@
 
   private Fleet() {}
 
+  /** Returns notices of servers that have said nothing. */
+  static ServerNotices notices() {
+    return new ServerNotices(Duration.ofMinutes(1));
+  }
+
   static ServiceSpec spec() {
     return spec(6);
   }
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -15,7 +15,7 @@
 /** Tests which jobs are bound, in which order and to which server. */
 final class FleetSchedulerTest {
   private static FleetScheduler scheduler() {
-    FleetScheduler scheduler = new FleetScheduler(Fleet.DOMAINS.get(0));
+    FleetScheduler scheduler = new FleetScheduler(Fleet.DOMAINS.get(0), Fleet.notices());
     scheduler.updateServices(List.of(Fleet.spec()));
     return scheduler;
   }
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
@@ -107,7 +107,7 @@
         .forEach(
             i -> {
               FleetScheduler entry =
-                  new FleetScheduler(Fleet.DOMAINS.get(i % Fleet.DOMAINS.size()));
+                  new FleetScheduler(Fleet.DOMAINS.get(i % Fleet.DOMAINS.size()), Fleet.notices());
               entry.updateServices(List.of(Fleet.spec()));
               entry.updateServers(listed);
               entries.add(entry);
--- a/routing/src/test/java/org/endivemux/routing/fleet/LongPromptServersTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/LongPromptServersTest.java
@@ -32,7 +32,7 @@
 
   @Example
   void chatsAndMonthEndSummariesShareNoServerWhileCapacityIsFree() {
-    FleetScheduler scheduler = new FleetScheduler(Fleet.DOMAINS.get(0));
+    FleetScheduler scheduler = new FleetScheduler(Fleet.DOMAINS.get(0), Fleet.notices());
     scheduler.updateServices(List.of(Fleet.spec()));
     scheduler.updateServers(Fleet.spot(2));
     IntStream.range(0, 10)
