--- a/consensus/src/main/java/org/endivemux/consensus/ConsensusCore.java
+++ b/consensus/src/main/java/org/endivemux/consensus/ConsensusCore.java
@@ -86,15 +86,18 @@
 
   private void dispatch(Envelope envelope, long now) {
     Message message = envelope.message();
-    on(message, VoteRequest.class, it -> elections.onVoteRequest(envelope, it, now));
-    on(message, VoteReply.class, it -> onVoteReply(envelope, it, now));
-    on(message, Append.class, it -> followerReplication.onAppend(envelope, it, now));
-    on(message, AppendReply.class, it -> onAppendReply(envelope, it, now));
-    on(message, InstallSnapshot.class, it -> followerReplication.onSnapshot(envelope, it, now));
-    on(message, Probe.class, it -> formation.onProbe(envelope));
-    on(message, ProbeReply.class, it -> formation.onProbeReply(envelope, it, now));
+    on(message, VoteRequest.class, request -> elections.onVoteRequest(envelope, request, now));
+    on(message, VoteReply.class, reply -> onVoteReply(envelope, reply, now));
+    on(message, Append.class, append -> followerReplication.onAppend(envelope, append, now));
+    on(message, AppendReply.class, reply -> onAppendReply(envelope, reply, now));
+    on(
+        message,
+        InstallSnapshot.class,
+        install -> followerReplication.onSnapshot(envelope, install, now));
+    on(message, Probe.class, probe -> formation.onProbe(envelope));
+    on(message, ProbeReply.class, reply -> formation.onProbeReply(envelope, reply, now));
     on(message, Form.class, formation::onForm);
-    on(message, Join.class, it -> changes.onJoin(envelope));
+    on(message, Join.class, join -> changes.onJoin(envelope));
   }
 
   private static <T extends Message> void on(Message message, Class<T> type, Consumer<T> action) {
--- a/daemon/src/main/java/org/endivemux/daemon/PeerRouter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/PeerRouter.java
@@ -45,7 +45,7 @@
   public void onMessage(Hello from, byte[] payload) {
     switch (PeerPayload.kindOf(payload)) {
       case PeerPayload.CONSENSUS ->
-          voter.ifPresent(it -> it.receive(PeerPayload.decode(payload, Envelope.class)));
+          voter.ifPresent(own -> own.receive(PeerPayload.decode(payload, Envelope.class)));
       case PeerPayload.DIGEST ->
           loads.peerDigest(
               from.vm().value(), PeerPayload.decode(payload, PeerDigest.class).inFlight());
@@ -57,7 +57,7 @@
   public Mono<byte[]> onRequest(Hello from, byte[] payload) {
     ControlRequest request = MessagePackCodec.decode(payload, ControlRequest.class);
     return service
-        .map(it -> it.handle(request))
+        .map(own -> own.handle(request))
         .orElseGet(() -> Mono.just(new ControlReply.NotLeader(Optional.empty(), List.of())))
         .map(MessagePackCodec::encode)
         .doOnNext(reply -> recordSize(from, reply));
--- a/entry/src/main/java/org/endivemux/entry/EntryServer.java
+++ b/entry/src/main/java/org/endivemux/entry/EntryServer.java
@@ -89,7 +89,8 @@
       return withMethod(HttpMethod.GET, method, exchange, parts.entries()::handle);
     } else if (path.startsWith(OUTCOMES)) {
       String key = path.substring(OUTCOMES.length());
-      return withMethod(HttpMethod.GET, method, exchange, it -> parts.operators().outcome(it, key));
+      return withMethod(
+          HttpMethod.GET, method, exchange, taken -> parts.operators().outcome(taken, key));
     }
     return routeOperators(exchange, path, method);
   }
@@ -100,12 +101,13 @@
       return withMethod(HttpMethod.POST, method, exchange, operators::plan);
     } else if (path.startsWith(PLANS + "/") && path.endsWith(CONFIRM)) {
       String plan = path.substring(PLANS.length() + 1, path.length() - CONFIRM.length());
-      return withMethod(HttpMethod.POST, method, exchange, it -> operators.confirm(it, plan));
+      return withMethod(HttpMethod.POST, method, exchange, taken -> operators.confirm(taken, plan));
     } else if (path.equals(KEYS)) {
       return withMethod(HttpMethod.POST, method, exchange, operators::createKey);
     } else if (path.startsWith(KEYS + "/")) {
       String key = path.substring(KEYS.length() + 1);
-      return withMethod(HttpMethod.DELETE, method, exchange, it -> operators.withdrawKey(it, key));
+      return withMethod(
+          HttpMethod.DELETE, method, exchange, taken -> operators.withdrawKey(taken, key));
     } else if (path.equals("/v1/status")) {
       return withMethod(HttpMethod.GET, method, exchange, operators::status);
     } else if (path.equals("/v1/usage")) {
@@ -125,9 +127,9 @@
               HttpMethod.GET,
               method,
               exchange,
-              it -> text(it, OK, MetricsText.of(parts.counters().registry())));
+              taken -> text(taken, OK, MetricsText.of(parts.counters().registry())));
       case "/healthz" ->
-          withMethod(HttpMethod.GET, method, exchange, it -> text(it, OK, "alive\n"));
+          withMethod(HttpMethod.GET, method, exchange, taken -> text(taken, OK, "alive\n"));
       case "/readyz" -> withMethod(HttpMethod.GET, method, exchange, this::ready);
       default -> Mono.error(new RefusedException(Reason.UNKNOWN_ROUTE));
     };
--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -28,7 +28,7 @@
   private static final long MIN_READ_INTERVAL_NANOS = Duration.ofMillis(1500).toNanos();
   private static final long READ_INTERVAL_PER_ENTRY_NANOS = Duration.ofMillis(100).toNanos();
 
-  private final GatewaySyncState ledger;
+  private final GatewaySyncState syncState;
   private final Supplier<Mono<List<GatewayServer>>> reader;
   private final IntSupplier entries;
   private final LongSupplier nanos;
@@ -36,11 +36,11 @@
   private volatile Disposable schedule = () -> {};
 
   public DirectListing(
-      GatewaySyncState ledger,
+      GatewaySyncState syncState,
       Supplier<Mono<List<GatewayServer>>> reader,
       IntSupplier entries,
       LongSupplier nanos) {
-    this.ledger = ledger;
+    this.syncState = syncState;
     this.reader = reader;
     this.entries = entries;
     this.nanos = nanos;
@@ -57,7 +57,7 @@
     long now = nanos.getAsLong();
     long interval =
         Math.max(MIN_READ_INTERVAL_NANOS, entries.getAsInt() * READ_INTERVAL_PER_ENTRY_NANOS);
-    if (ledger.nanosSinceLeaderHeard() < LEADER_SILENCE_NANOS || now - readAt < interval) {
+    if (syncState.nanosSinceLeaderHeard() < LEADER_SILENCE_NANOS || now - readAt < interval) {
       return;
     }
     readAt = now;
@@ -70,9 +70,9 @@
   }
 
   private void apply(List<GatewayServer> servers) {
-    if (ledger.nanosSinceLeaderHeard() >= LEADER_SILENCE_NANOS) {
+    if (syncState.nanosSinceLeaderHeard() >= LEADER_SILENCE_NANOS) {
       logger.atInfo().log("event=list_read_directly count=%d", servers.size());
-      ledger.replaceServers(servers);
+      syncState.replaceServers(servers);
     }
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -1,8 +1,6 @@
 package org.endivemux.gateway;
 
 import com.google.common.flogger.FluentLogger;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
@@ -12,14 +10,10 @@
 import java.util.function.Supplier;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.gateway.BackendPort.Call;
-import org.endivemux.gateway.BackendPort.Response;
-import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.RetryReason;
-import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.HostRoute;
-import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
 import org.endivemux.routing.RetryPolicy;
@@ -28,7 +22,6 @@
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.PromptShape;
-import org.endivemux.wire.BoundedBytes;
 import org.endivemux.wire.EarlyEnd;
 import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
@@ -45,17 +38,6 @@
 final class Relay {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final int MAX_RESPONSE_BYTES = 8 << 20;
-
-  /**
-   * How much of the body of a rejection is read, so that its connection can be reused. A body that
-   * exceeds this closes the connection, and the request goes on to another server.
-   */
-  private static final int MAX_REJECTION_BYTES = 64 << 10;
-
-  private static final Duration MAX_REJECTION_TIME = Duration.ofMillis(200);
-  private static final int FIRST_SERVER_ERROR = 500;
-  private static final int OK = 200;
 
   /** With less time left than this, no further attempt starts. */
   private static final long MIN_TIME_LEFT_NANOS = 60 * NANOS_PER_MILLI;
@@ -82,7 +64,7 @@
 
   private final ServerPool pool;
   private final BackendPort backends;
-  private final GatewaySyncState syncState;
+  private final ResponseReader reader;
   private final CrashWatch crashes;
   private final GatewayCounters counters;
   private final Supplier<RouteTable> table;
@@ -105,7 +87,7 @@
       Scheduler timers) {
     this.pool = pool;
     this.backends = backends;
-    this.syncState = syncState;
+    this.reader = new ResponseReader(pool, syncState, nanos);
     this.crashes = crashes;
     this.counters = counters;
     this.table = table;
@@ -187,7 +169,7 @@
         (sentAt - request.arrivedAt()) / NANOS_PER_MILLI,
         table.get().config().version());
     return backends
-        .send(call, response -> read(request, progress, binding, sentAt, response))
+        .send(call, response -> reader.read(request, progress, binding, sentAt, response))
         .transform(parts -> withTimeouts(request, progress, binding, parts))
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
         .doOnComplete(() -> crashes.completed(prompt))
@@ -219,62 +201,6 @@
         .guard(parts);
   }
 
-  private Flux<ResponsePart> read(
-      AdmittedRequest request, Progress progress, Binding binding, long sentAt, Response response) {
-    heed(binding.server(), response);
-    RequestId id = binding.job().id();
-    if (response.notRun()) {
-      return BoundedBytes.discard(response.body(), MAX_REJECTION_BYTES, MAX_REJECTION_TIME)
-          .thenMany(Flux.error(new AttemptFailure.NotRun(response.addressReassigned())));
-    }
-    if (progress.headDelivered() && response.status() != OK) {
-      return Flux.error(new AttemptFailure.ServerError());
-    }
-    if (request.route().kind() == RequestKind.STREAM && response.status() == OK) {
-      StreamReader reader =
-          new StreamReader(
-              progress, () -> recordFirstEvent(request, progress, id, nanos.getAsLong()));
-      return reader.read(response.status(), response.headers(), response.body());
-    }
-    recordFirstEvent(request, progress, id, sentAt);
-    return BoundedBytes.collect(
-            response.body(),
-            MAX_RESPONSE_BYTES,
-            () -> new IllegalStateException("The response is longer than the gateway can buffer."))
-        .flatMapMany(bytes -> completeResponse(progress, response, bytes));
-  }
-
-  private void heed(GatewayServer server, Response response) {
-    if (response.leaving()) {
-      pool.leaves(server);
-    }
-    if (!response.pause().isZero()) {
-      pool.pauses(server, response.pause());
-    }
-  }
-
-  private Flux<ResponsePart> completeResponse(Progress progress, Response response, byte[] bytes) {
-    HttpHeaders headers = response.headers();
-    headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-    ResponsePart.Head head = new ResponsePart.Head(response.status(), headers);
-    if (response.status() >= FIRST_SERVER_ERROR) {
-      progress.retain(new Progress.RetainedResponse(head, bytes));
-      return Flux.error(new AttemptFailure.ServerError());
-    }
-    progress.delivered(progress.lastEvent());
-    return Flux.just(head, new ResponsePart.Body(bytes));
-  }
-
-  /** Records that a request has begun to run; counts it for usage once. */
-  private void recordFirstEvent(
-      AdmittedRequest request, Progress progress, RequestId id, long beganAt) {
-    pool.answered(id);
-    Optional<OrganisationId> organisation = request.organisation();
-    if (organisation.isPresent() && progress.countOnce()) {
-      syncState.countStarted(organisation.get(), (nanos.getAsLong() - beganAt) / NANOS_PER_MILLI);
-    }
-  }
-
   private Flux<ResponsePart> retryOrFail(
       AdmittedRequest request, byte[] body, Progress progress, SendMarker marker, Throwable error) {
     if (error instanceof GatewayRefusal) {
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -0,0 +1,110 @@
+package org.endivemux.gateway;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.gateway.BackendPort.Response;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.RequestKind;
+import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.wire.BoundedBytes;
+import reactor.core.publisher.Flux;
+
+/**
+ * Reads the response to one attempt and decides whether it is passed on.
+ *
+ * <p>Invariants: a response without streaming is passed on only when it is complete; once the
+ * caller has a part of a stream, nothing but further events of that stream is passed on; a request
+ * that has begun to run is counted for usage once. Thread-safe.
+ */
+final class ResponseReader {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final int MAX_RESPONSE_BYTES = 8 << 20;
+
+  /**
+   * How much of the body of a rejection is read, so that its connection can be reused. A body that
+   * exceeds this closes the connection, and the request goes on to another server.
+   */
+  private static final int MAX_REJECTION_BYTES = 64 << 10;
+
+  private static final Duration MAX_REJECTION_TIME = Duration.ofMillis(200);
+  private static final int FIRST_SERVER_ERROR = 500;
+  private static final int OK = 200;
+
+  private final ServerPool pool;
+  private final GatewaySyncState syncState;
+  private final LongSupplier nanos;
+
+  ResponseReader(ServerPool pool, GatewaySyncState syncState, LongSupplier nanos) {
+    this.pool = pool;
+    this.syncState = syncState;
+    this.nanos = nanos;
+  }
+
+  /**
+   * Returns the parts of a response to pass on; fails with {@link AttemptFailure} if there are
+   * none.
+   *
+   * @param sentAt when the request was sent, in monotonic nanoseconds
+   */
+  Flux<ResponsePart> read(
+      AdmittedRequest request, Progress progress, Binding binding, long sentAt, Response response) {
+    heed(binding.server(), response);
+    RequestId id = binding.job().id();
+    if (response.notRun()) {
+      return BoundedBytes.discard(response.body(), MAX_REJECTION_BYTES, MAX_REJECTION_TIME)
+          .thenMany(Flux.error(new AttemptFailure.NotRun(response.addressReassigned())));
+    }
+    if (progress.headDelivered() && response.status() != OK) {
+      return Flux.error(new AttemptFailure.ServerError());
+    }
+    if (request.route().kind() == RequestKind.STREAM && response.status() == OK) {
+      StreamReader stream =
+          new StreamReader(
+              progress, () -> recordFirstEvent(request, progress, id, nanos.getAsLong()));
+      return stream.read(response.status(), response.headers(), response.body());
+    }
+    recordFirstEvent(request, progress, id, sentAt);
+    return BoundedBytes.collect(
+            response.body(),
+            MAX_RESPONSE_BYTES,
+            () -> new IllegalStateException("The response is longer than the gateway can buffer."))
+        .flatMapMany(bytes -> completeResponse(progress, response, bytes));
+  }
+
+  private void heed(GatewayServer server, Response response) {
+    if (response.leaving()) {
+      pool.leaves(server);
+    }
+    if (!response.pause().isZero()) {
+      pool.pauses(server, response.pause());
+    }
+  }
+
+  private Flux<ResponsePart> completeResponse(Progress progress, Response response, byte[] bytes) {
+    HttpHeaders headers = response.headers();
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    ResponsePart.Head head = new ResponsePart.Head(response.status(), headers);
+    if (response.status() >= FIRST_SERVER_ERROR) {
+      progress.retain(new Progress.RetainedResponse(head, bytes));
+      return Flux.error(new AttemptFailure.ServerError());
+    }
+    progress.delivered(progress.lastEvent());
+    return Flux.just(head, new ResponsePart.Body(bytes));
+  }
+
+  /** Records that a request has begun to run; counts it for usage once. */
+  private void recordFirstEvent(
+      AdmittedRequest request, Progress progress, RequestId id, long beganAt) {
+    pool.answered(id);
+    Optional<OrganisationId> organisation = request.organisation();
+    if (organisation.isPresent() && progress.countOnce()) {
+      syncState.countStarted(organisation.get(), (nanos.getAsLong() - beganAt) / NANOS_PER_MILLI);
+    }
+  }
+}
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -19,13 +19,13 @@
 
   private final AtomicLong nanos = new AtomicLong(Duration.ofHours(1).toNanos());
   private final AtomicInteger reads = new AtomicInteger();
-  private final GatewaySyncState ledger =
+  private final GatewaySyncState syncState =
       new GatewaySyncState(
           new Clocks(nanos::get, () -> 0), 5000, List::of, List::of, List::of, CrashNews::none);
 
   private DirectListing listing(int entries) {
     return new DirectListing(
-        ledger,
+        syncState,
         () -> {
           reads.incrementAndGet();
           return Mono.just(List.of());
