--- a/gateway/src/main/java/org/endivemux/gateway/CrashWatch.java
+++ b/gateway/src/main/java/org/endivemux/gateway/CrashWatch.java
@@ -9,6 +9,7 @@
 import org.endivemux.routing.RetryPolicy.Failure;
 import org.endivemux.routing.fleet.CrashTracker;
 import org.endivemux.routing.fleet.PromptShape;
+import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -35,9 +36,13 @@
     this.timers = timers;
   }
 
-  /** Records a failed attempt; if its connection ended early, checks whether the server is gone. */
-  void failed(GatewayServer server, PromptShape prompt, Throwable error) {
-    if (AttemptFailure.failureOf(error) == Failure.BROKEN && attemptBroke(server, prompt)) {
+  /**
+   * Records a failed attempt; if its connection ended early, checks whether the server is gone. An
+   * attempt that was never sent did not crash the server.
+   */
+  void failed(GatewayServer server, PromptShape prompt, SendMarker marker, Throwable error) {
+    boolean broke = marker.mayHaveSent() && AttemptFailure.failureOf(error) == Failure.BROKEN;
+    if (broke && attemptBroke(server, prompt)) {
       check(server);
     }
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -174,7 +174,7 @@
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
         .doOnComplete(() -> crashes.completed(prompt))
         .doOnError(error -> pool.release(id, AttemptFailure.endOf(error)))
-        .doOnError(error -> crashes.failed(binding.server(), prompt, error))
+        .doOnError(error -> crashes.failed(binding.server(), prompt, marker, error))
         .doOnCancel(() -> pool.release(id, AttemptResult.CANCELLED));
   }
 
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -36,6 +37,7 @@
 import org.endivemux.model.gateway.ServiceSpec;
 import org.endivemux.model.gateway.Share;
 import org.endivemux.routing.fleet.FleetScheduler;
+import org.endivemux.routing.fleet.PromptPart;
 import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.routing.fleet.ServerNotices;
 import reactor.core.publisher.Flux;
@@ -51,6 +53,7 @@
   private static final class ScriptedBackend implements BackendPort {
     private final Deque<Function<Call, Flux<Response>>> responses = new ArrayDeque<>();
     private final List<Call> calls = new ArrayList<>();
+    private final AtomicInteger checks = new AtomicInteger();
 
     ScriptedBackend then(Function<Call, Flux<Response>> response) {
       responses.add(response);
@@ -65,6 +68,7 @@
 
     @Override
     public Mono<Boolean> isGone(GatewayServer server) {
+      checks.incrementAndGet();
       return Mono.just(false);
     }
   }
@@ -365,6 +369,23 @@
         .isEqualTo("200:id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   }
 
+  /** Guards against prompts being blamed for servers that were down before they were sent. */
+  @Example
+  void serverIsCheckedForACrashOnlyAfterAnAttemptThatWasSent() {
+    PromptShape prompt =
+        new PromptShape(
+            "m", 30, 10, List.of(new PromptPart("shared", 20), new PromptPart("own", 10)));
+    HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    ScriptedBackend down = new ScriptedBackend();
+    IntStream.range(0, 4).forEach(i -> down.then(RelayTest::unreachable));
+    refusal(run(down, admitted(route, LIMIT, prompt), 50));
+    ScriptedBackend crashing = new ScriptedBackend().then(RelayTest::connectionReset);
+    refusal(run(crashing, admitted(route, LIMIT, prompt), 50));
+    Mono.delay(Duration.ofMillis(20)).repeat(() -> crashing.checks.get() == 0).blockLast(LIMIT);
+    assertThat(down.checks).hasValue(0);
+    assertThat(crashing.checks).hasValue(1);
+  }
+
   @Example
   void brokenStreamThatMayNotBeResumedIsReportedAsBroken() {
     ScriptedBackend backend = new ScriptedBackend().then(breaksAfter("id: 1\ndata: a\n\n"));
