--- a/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
@@ -84,12 +84,12 @@
   /** Adds an entry's news; returns whether the verdicts for the other entries have changed. */
   public synchronized boolean add(VmId entry, CrashNews received, long ofTerm, long now) {
     startTerm(ofTerm, now);
+    Set<PromptPartId> suspectsBefore = Set.copyOf(suspectSince.keySet());
+    Set<PromptPartId> quarantinedBefore = Set.copyOf(quarantined.keySet());
     record(entry, received, now);
     if (news.isEmpty() && suspectSince.isEmpty() && quarantined.isEmpty()) {
       return false;
     }
-    Set<PromptPartId> suspectsBefore = Set.copyOf(suspectSince.keySet());
-    Set<PromptPartId> quarantinedBefore = Set.copyOf(quarantined.keySet());
     quarantined.entrySet().removeIf(part -> isCompletedSince(part.getKey(), part.getValue()));
     judge(now);
     boolean changed =
@@ -130,7 +130,9 @@
                 completedAt.merge(
                     part.part(), now - part.ageMillis() * NANOS_PER_MILLI, Math::max));
     if (now - termSince < TAKEOVER_NANOS) {
-      received.quarantined().forEach(part -> quarantine(part, now));
+      received.quarantined().stream()
+          .filter(part -> !completedAt.containsKey(part))
+          .forEach(part -> quarantine(part, now));
     }
   }
 
