--- a/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
@@ -103,7 +103,7 @@
     if (ofTerm != term) {
       term = ofTerm;
       termSince = now;
-      changes = 1;
+      changes = 0;
       news.clear();
       completionsBefore.clear();
       completedAt.clear();
@@ -247,9 +247,12 @@
             .toList());
   }
 
-  /** Returns the number of the current verdicts; it is unique within a term. */
+  /**
+   * Returns the number of the current verdicts: zero before the first change of a term, so that
+   * entries without any verdict count as up to date.
+   */
   public synchronized long number() {
-    return term * NUMBERS_PER_TERM + changes;
+    return changes == 0 ? 0 : term * NUMBERS_PER_TERM + changes;
   }
 
   /** Returns the quarantined parts. */
--- a/routing/src/test/java/org/endivemux/routing/fleet/PartQuarantineTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/PartQuarantineTest.java
@@ -14,6 +14,7 @@
 import org.endivemux.model.crash.CompletedPart;
 import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.crash.CrashReport;
+import org.endivemux.model.crash.PartVerdicts;
 
 /** Checks which prompt parts are quarantined after crashes of backend servers. */
 final class PartQuarantineTest {
@@ -83,6 +84,16 @@
     assertThat(quarantine.quarantined()).isEmpty();
   }
 
+  /** Guards against entries that poll without pause because they have no verdicts. */
+  @Example
+  void entryWithoutVerdictsIsUpToDateUntilTheFirstChange() {
+    quarantine.add(ENTRY, CrashNews.none(), 5, 0);
+    assertThat(quarantine.number()).isEqualTo(CrashNews.none().verdictsNumber());
+    assertThat(quarantine.verdicts(0)).isEqualTo(PartVerdicts.none());
+    quarantine.add(ENTRY, new CrashNews(0, 0, List.of(), List.of(), List.of(PART)), 5, 1);
+    assertThat(quarantine.number()).isNotEqualTo(CrashNews.none().verdictsNumber());
+  }
+
   /** Guards against a part that is sent again after a change of the leader. */
   @Example
   void newLeaderTakesOverWhatEntriesHoldBack() {
