Of equally suspected prompt parts blame one that was not completed lately

Cause, found by thinking the choice through: while all servers crash, no sound prompt is completed, and the part that all prompts share is in as many crashes as the one that causes them. The smaller id was blamed. Measured: PartQuarantineTest.partThatWasCompletedEarlierIsNotBlamed...: the shared part quarantined before, the right one now.

--- a/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
@@ -205,10 +205,12 @@
     return crashes.stream().flatMap(crash -> crash.parts.stream()).collect(Collectors.toSet());
   }
 
+  /** Returns the part to quarantine; of equal ones, one that was not completed at all lately. */
   private Optional<PromptPartId> culprit(List<Crash> crashes, long now) {
     return suspectSince.keySet().stream()
         .max(
             Comparator.comparingInt((PromptPartId part) -> crashesUnder(part, crashes))
+                .thenComparing(part -> !completedAt.containsKey(part))
                 .thenComparing(Comparator.reverseOrder()))
         .filter(part -> now - suspectSince.get(part) >= ANSWER_WAIT_NANOS)
         .filter(part -> explainsMost(part, crashes));
--- a/routing/src/test/java/org/endivemux/routing/fleet/PartQuarantineTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/PartQuarantineTest.java
@@ -84,6 +84,33 @@
     assertThat(quarantine.quarantined()).isEmpty();
   }
 
+  /**
+   * Guards against blaming a part that all prompts share when no sound one was completed lately.
+   */
+  @Example
+  void partThatWasCompletedEarlierIsNotBlamedInPlaceOfOneThatNeverWas() {
+    PromptPartId shared = new PromptPartId("a-shared");
+    for (int second = 0; second < 4; second++) {
+      long sinceStart = second * 1000L;
+      List<CrashReport> reports =
+          IntStream.range(0, 4)
+              .mapToObj(
+                  i ->
+                      new CrashReport(
+                          new BackendServerId("s" + i),
+                          sinceStart + i * 500L,
+                          List.of(shared, PART)))
+              .toList();
+      List<CompletedPart> completed = List.of(new CompletedPart(shared, 20_000 + sinceStart));
+      quarantine.add(
+          ENTRY,
+          new CrashNews(0, 100L * second, reports, completed, List.of()),
+          1,
+          100 * SECOND + second * SECOND);
+    }
+    assertThat(quarantine.quarantined()).containsExactly(PART);
+  }
+
   /** Guards against entries that poll without pause because they have no verdicts. */
   @Example
   void entryWithoutVerdictsIsUpToDateUntilTheFirstChange() {
