--- a/review/lib/Engine.java
+++ b/review/lib/Engine.java
@@ -78,6 +78,12 @@
     }
   }
 
+  /** Answers as a sound server, for a fault that hits a part of the requests. */
+  boolean answerSoundly(HttpMessage request, OutputStream out) throws Exception {
+    String attempt = request.header(Names.of("attempt"));
+    return answer(request, out, attempt, Names.of("attempt") + ": " + attempt);
+  }
+
   private boolean answer(HttpMessage request, OutputStream out, String attempt, String echo)
       throws Exception {
     String stamp = Names.of("stamp") + ": " + stampOf(attempt);
--- a/review/lib/Load.java
+++ b/review/lib/Load.java
@@ -1,5 +1,7 @@
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
@@ -17,6 +19,7 @@
   private final Bed bed;
   private final AtomicInteger sent = new AtomicInteger();
   private final Map<String, Integer> results = new TreeMap<>();
+  private final Map<String, List<Long>> millisByKind = new TreeMap<>();
   private final ScheduledExecutorService clock = Executors.newScheduledThreadPool(1);
   private final ExecutorService workers = Executors.newCachedThreadPool();
 
@@ -41,6 +44,7 @@
     bed.record("answer request=" + attempt + " by=" + entry + " " + result + " millis=" + millis);
     synchronized (results) {
       results.merge(kind + " " + result, 1, Integer::sum);
+      millisByKind.computeIfAbsent(kind, none -> new ArrayList<>()).add(millis);
     }
   }
 
@@ -77,6 +81,15 @@
     }
   }
 
+  /** Returns how many requests of a kind had no whole answer after so many milliseconds. */
+  long unansweredAfter(String kind, long millis) {
+    synchronized (results) {
+      return millisByKind.getOrDefault(kind, List.of()).stream()
+          .filter(taken -> taken > millis)
+          .count();
+    }
+  }
+
   @Override
   public void close() {
     clock.shutdownNow();
