Logs that tell the hypotheses of the late configuration apart

The leader logs when a configuration is committed, with its revision and the entries that lack it then; an entry logs with which revision it begins to use it and how long its tables took, and polls that take longer than a second. No decision is changed.

--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -31,6 +31,9 @@
   private static final Duration POLL_TIMEOUT = Duration.ofMillis(1500);
   private static final Duration POLL_PAUSE = Duration.ofMillis(20);
 
+  /** A poll that finds nothing new takes less than half of this. */
+  private static final Duration SLOW_POLL = Duration.ofSeconds(1);
+
   /**
    * Shortest interval between two polls with usage, for each entry of the system; it bounds the
    * rate at which the leader has to commit usage.
@@ -140,6 +143,12 @@
           "event=first_view revision=%d changes=%d whole=%s",
           view.revision(), reply.changes().size(), reply.whole().isPresent());
     }
+    long tookNanos = clocks.nanos() - sentAtNanos;
+    if (tookNanos > SLOW_POLL.toNanos()) {
+      logger.atInfo().log(
+          "event=slow_poll tookMillis=%d revision=%d changes=%d",
+          Duration.ofNanos(tookNanos).toMillis(), view.revision(), reply.changes().size());
+    }
     boolean suspended = guard.ranAhead();
     state =
         new State(
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -38,7 +38,7 @@
   private static final Duration IN_FORCE_CHECK_INTERVAL = Duration.ofMillis(20);
 
   private final VmId self;
-  private final Voter voter;
+  private final ReplicatedState voter;
   private final EntryRegistry registry;
   private final Clocks clocks;
   private final ServerDirectory servers;
@@ -50,7 +50,7 @@
 
   public ControlService(
       VmId self,
-      Voter voter,
+      ReplicatedState voter,
       EntryRegistry registry,
       Clocks clocks,
       ServerDirectory servers,
@@ -82,7 +82,7 @@
     }
     registry.startTerm(voter.status().term(), clocks.nanos());
     if (request instanceof ControlRequest.Submit it) {
-      return submit(it.command());
+      return submit(it.command()).doOnNext(reply -> logCommitted(it.command()));
     } else if (request instanceof ControlRequest.Poll it) {
       return poll(it);
     } else if (request instanceof ControlRequest.AwaitInForce it) {
@@ -117,6 +117,15 @@
     return mono(() -> voter.submit(command)).map(ControlReply.SubmitReply::new);
   }
 
+  private void logCommitted(Command command) {
+    if (command instanceof Command.PutGatewayConfig it) {
+      long revision = voter.publishedRevision();
+      logger.atInfo().log(
+          "event=config_committed version=%d revision=%d behind=%s",
+          it.config().version(), revision, registry.entriesBehind(revision));
+    }
+  }
+
   private Mono<ControlReply> read(java.util.function.Function<ControlState, ControlReply> query) {
     return mono(() -> voter.read(query)).map(this::ifStillLeader);
   }
--- a/control/src/main/java/org/endivemux/control/voter/Voter.java
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -41,7 +41,7 @@
  * <p>Invariants: a single thread accesses the core and the state, and another one syncs; a command
  * is answered only after it was committed and applied. Thread-safe.
  */
-public final class Voter implements AutoCloseable {
+public final class Voter implements ReplicatedState, AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 20;
   private static final int COMPACTION_ENTRIES = 4000;
@@ -117,13 +117,7 @@
     enqueue(() -> handle(core.receive(envelope, clocks.nanos())));
   }
 
-  /**
-   * Proposes a command.
-   *
-   * @return the command's answer once it is committed; fails with {@link ControlException} when
-   *     this member is not the leader or the log entry was lost, and may never complete when
-   *     leadership is lost
-   */
+  @Override
   public CompletableFuture<CommandResult> submit(Command command) {
     CompletableFuture<CommandResult> answer = new CompletableFuture<>();
     byte[] bytes = MessagePackCodec.encode(new Command.Stamped(clocks.millis(), command));
@@ -132,6 +126,7 @@
   }
 
   /** Runs a query on the state machine's thread. */
+  @Override
   public <T> CompletableFuture<T> read(Function<ControlState, T> query) {
     CompletableFuture<T> result = new CompletableFuture<>();
     enqueue(() -> complete(result, query));
@@ -146,22 +141,23 @@
     }
   }
 
-  /** Adds a listener that the state machine's thread calls when the entries' view has changed. */
+  /** Adds a listener that the state machine's thread calls. */
+  @Override
   public void onViewChanged(Runnable listener) {
     enqueue(() -> viewListeners.add(listener));
   }
 
-  /** Returns the latest status. */
+  @Override
   public Status status() {
     return status;
   }
 
-  /** Returns the revision of the latest view. */
+  @Override
   public long publishedRevision() {
     return publishedRevision;
   }
 
-  /** Returns whether this member holds the leader's lease now, and so may decide and order. */
+  @Override
   public boolean holdsLease() {
     if (guard.ranAhead()) {
       distrustClock();
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -76,11 +76,16 @@
   private void viewChanged() {
     GatewayConfig config = follower.view().gateway();
     if (config.version() > table.config().version()) {
+      long startedAt = nanos.getAsLong();
       table = new RouteTable(config);
       pool.configure(config);
       logger.atInfo().log(
-          "event=configured version=%d routes=%d organisations=%d",
-          config.version(), config.routes().size(), config.organisations().size());
+          "event=configured version=%d revision=%d routes=%d organisations=%d tookMillis=%d",
+          config.version(),
+          follower.view().revision(),
+          config.routes().size(),
+          config.organisations().size(),
+          (nanos.getAsLong() - startedAt) / NANOS_PER_MILLI);
     }
   }
 
