Red: acknowledged configurations are not in force at entries in time

What callers saw: a request was refused as an older version says, more than 2 s after the newer version was acknowledged.

AcknowledgedInForceTest plays the leader's service and the entries' followers in virtual time. Red on this code in all four cases, without luck: 14,000 routes and 6 entries; 1,000 routes and 363 entries; 7,400 routes and 25 changes 80 ms apart; links of 100 KB/s. In the first case each version from the second on lacks at five or all of the six entries 2 s after its acknowledgement.

--- /dev/null
+++ b/control/src/test/java/org/endivemux/control/voter/AcknowledgedInForceTest.java
@@ -0,0 +1,74 @@
+package org.endivemux.control.voter;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import net.jqwik.api.Example;
+import org.endivemux.control.voter.InForceSimulation.Acknowledged;
+import org.endivemux.control.voter.InForceSimulation.Load;
+
+/**
+ * Checks that an acknowledged configuration is in force at all entries in time, whatever its size,
+ * the number of entries and the rate of changes.
+ */
+final class AcknowledgedInForceTest {
+  /** From the acknowledgement of a version to its being in force at each entry in contact. */
+  private static final Duration APPLY_LIMIT = Duration.ofSeconds(2);
+
+  private static final Duration ACK_LIMIT = Duration.ofSeconds(4);
+  private static final Duration ACK_LIMIT_PER_ROUTE = Duration.ofMillis(3);
+  private static final long LINK_BYTES_PER_SECOND = 125_000_000;
+
+  /** Guards against acknowledged routes that entries refuse since the configuration is large. */
+  @Example
+  void largeConfigurationIsInForceInTime() {
+    checkInForce(load(14_000, 6, 4, Duration.ofSeconds(2)));
+  }
+
+  /** Guards against acknowledged routes that some of many entries refuse. */
+  @Example
+  void configurationIsInForceAtManyEntriesInTime() {
+    checkInForce(load(1000, 363, 3, Duration.ofSeconds(1)));
+  }
+
+  /** Guards against entries that never catch up while changes come in quick succession. */
+  @Example
+  void changesInQuickSuccessionAreInForceInTime() {
+    checkInForce(load(7400, 6, 25, Duration.ofMillis(80)));
+  }
+
+  /** Guards against an acknowledgement that does not wait for entries behind slow links. */
+  @Example
+  void configurationIsInForceBehindSlowLinksInTime() {
+    checkInForce(
+        new Load(
+            2000,
+            6,
+            5,
+            Duration.ofSeconds(2),
+            100_000,
+            ACK_LIMIT.plus(ACK_LIMIT_PER_ROUTE.multipliedBy(2000)),
+            APPLY_LIMIT));
+  }
+
+  private static Load load(int routes, int entries, int changes, Duration gap) {
+    return new Load(
+        routes,
+        entries,
+        changes,
+        gap,
+        LINK_BYTES_PER_SECOND,
+        ACK_LIMIT.plus(ACK_LIMIT_PER_ROUTE.multipliedBy(routes)),
+        APPLY_LIMIT);
+  }
+
+  private static void checkInForce(Load load) {
+    try (InForceSimulation simulation = new InForceSimulation(load)) {
+      List<Acknowledged> changes = simulation.play();
+      assertThat(changes).allMatch(change -> change.behind().isEmpty());
+      assertThat(changes).hasSize(load.changes());
+      assertThat(changes).allMatch(change -> change.took().compareTo(load.ackLimit()) <= 0);
+    }
+  }
+}
