Configurations: send differences, encode once, store and send compressed

What callers saw: requests on acknowledged routes refused with 404 later than 2 s after the acknowledgement.

Cause: delivery cost the size of the whole configuration, times the entries, for each change. The leader encoded it anew in the reply to each entry's poll; a reply that took longer than an attempt was thrown away and asked for again. Measured with the deploy file's JVM options on a whole core: 52 ms to encode and 80 ms to decode 7,400 routes (1.69 MB), 105 and 147 ms for 14,000 (3.2 MB); a voter has 0.45 of a core, so six entries and 14,000 routes are 1.4 s of a poll's 1.2 s.

Change: an entry is sent the difference between the version it has and the newest (GatewayConfigUpdate), computed and encoded once for all entries that need it; of 32 recent versions, or else the whole, which is encoded once too, by the voter that the operator sent it to. Voters decode it only when an entry or the capacity plan needs it. The list of live entries went the same way: 363 entries that started together never got through, since each was sent the list anew; it is encoded once now.

Ruled out: a longer time for a poll alone, which leaves the cost with the size.

--- a/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
@@ -33,7 +33,7 @@
   }
 
   private static Mono<Void> checkDone(CommandResult result) {
-    return result instanceof CommandResult.Done
+    return result instanceof CommandResult.GatewayConfigStored
         ? Mono.empty()
         : Mono.error(new ControlException("The change was not committed."));
   }
--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -12,6 +12,7 @@
 import org.endivemux.control.voter.EntryRegistry;
 import org.endivemux.control.voter.SuspensionGuard;
 import org.endivemux.model.EntryInfo;
+import org.endivemux.wire.Packed;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -131,8 +132,7 @@
     gateway.applyReply(reply.gateway());
     client.setVoters(reply.gateway().voters());
     State before = state;
-    EntryView base = reply.whole().map(EntryView::of).orElse(before.view());
-    EntryView view = base.applyAll(reply.changes());
+    EntryView view = before.view().apply(reply.update());
     if (view.revision() < before.view().revision()) {
       logger.atSevere().log(
           "event=view_reverted have=%d offered=%d", before.view().revision(), view.revision());
@@ -141,19 +141,19 @@
     if (before.view().revision() == 0 && view.revision() > 0) {
       logger.atInfo().log(
           "event=first_view revision=%d changes=%d whole=%s",
-          view.revision(), reply.changes().size(), reply.whole().isPresent());
+          view.revision(), reply.update().changes().size(), reply.update().whole().isPresent());
     }
     long tookNanos = clocks.nanos() - sentAtNanos;
     if (tookNanos > SLOW_POLL.toNanos()) {
       logger.atInfo().log(
           "event=slow_poll tookMillis=%d revision=%d changes=%d",
-          Duration.ofNanos(tookNanos).toMillis(), view.revision(), reply.changes().size());
+          Duration.ofNanos(tookNanos).toMillis(), view.revision(), reply.update().changes().size());
     }
     boolean suspended = guard.ranAhead();
     state =
         new State(
             view,
-            reply.entries().orElse(before.entries()),
+            reply.entries().map(ViewFollower::unpack).orElse(before.entries()),
             reply.entriesNumber(),
             sentAtNanos + EntryRegistry.FRESHNESS.toNanos(),
             !suspended);
@@ -163,6 +163,10 @@
     }
   }
 
+  private static List<EntryInfo> unpack(Packed entries) {
+    return List.of(entries.unpack(EntryInfo[].class));
+  }
+
   /** Returns the latest view, fresh or not. */
   public EntryView view() {
     return state.view();
--- a/control/src/main/java/org/endivemux/control/message/ControlReply.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -8,14 +8,15 @@
 import org.endivemux.consensus.Member;
 import org.endivemux.control.state.Claim;
 import org.endivemux.control.state.CommandResult;
-import org.endivemux.control.state.EntryView;
 import org.endivemux.control.state.Order;
 import org.endivemux.control.state.UsageWindow;
+import org.endivemux.control.state.ViewUpdate;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.VmId;
 import org.endivemux.model.crash.PartVerdicts;
 import org.endivemux.model.gateway.ServerListUpdate;
+import org.endivemux.wire.Packed;
 
 /** Reply of a voter to a {@link ControlRequest}. All kinds are immutable and thread-safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -41,8 +42,8 @@
     }
   }
 
-  /** The newest gateway configuration as the operator sent it; empty before the first. */
-  record GatewayConfigFound(String document) implements ControlReply {}
+  /** The newest gateway configuration as the operator sent it, a packed string. */
+  record GatewayConfigFound(Optional<Packed> document) implements ControlReply {}
 
   /**
    * Gateway part of a {@link PollReply}. Immutable and thread-safe.
@@ -75,23 +76,17 @@
    * Brings the entry up to date with the time at which it sent its poll.
    *
    * @param term term of the leader; in a new term the entry sends all its usage totals again
-   * @param whole the whole view, when the leader no longer retains all changes that the entry lacks
-   * @param changes changes after the revision of the entry's view
+   * @param update what brings the entry's view up to date
    * @param entriesNumber number of the leader's list of entries
-   * @param entries live entries, when their list has changed
+   * @param entries live entries as packed {@code EntryInfo[]}, when their list has changed
    */
   record PollReply(
       long term,
-      Optional<EntryView.Saved> whole,
-      List<EntryView.NumberedChange> changes,
+      ViewUpdate update,
       long entriesNumber,
-      Optional<List<EntryInfo>> entries,
+      Optional<Packed> entries,
       GatewayPollReply gateway)
-      implements ControlReply {
-    public PollReply {
-      changes = List.copyOf(changes);
-    }
-  }
+      implements ControlReply {}
 
   /**
    * Tells whether a revision is in force.
--- a/control/src/main/java/org/endivemux/control/state/Command.java
+++ b/control/src/main/java/org/endivemux/control/state/Command.java
@@ -20,6 +20,8 @@
 import org.endivemux.model.UsageLine;
 import org.endivemux.model.VmId;
 import org.endivemux.model.gateway.GatewayConfig;
+import org.endivemux.model.gateway.GatewayConfigUpdate;
+import org.endivemux.wire.Packed;
 
 /**
  * Change of the replicated state.
@@ -113,9 +115,15 @@
   /**
    * Puts a gateway configuration into force if its version is higher than the one in force.
    *
+   * @param whole a {@link GatewayConfigUpdate} that holds the configuration as a whole
    * @param document text that the operator sent, returned when the configuration is read
    */
-  record PutGatewayConfig(GatewayConfig config, String document) implements Command {}
+  record PutGatewayConfig(long version, Packed whole, Packed document) implements Command {
+    public static PutGatewayConfig of(GatewayConfig config, String document) {
+      return new PutGatewayConfig(
+          config.version(), Packed.of(GatewayConfigUpdate.whole(config)), Packed.of(document));
+    }
+  }
 
   /** Makes the counts of a wall-clock usage window final; has no effect if they already are. */
   record FinaliseWindow(long window, Map<OrganisationId, Long> requests) implements Command {
--- a/control/src/main/java/org/endivemux/control/state/CommandResult.java
+++ b/control/src/main/java/org/endivemux/control/state/CommandResult.java
@@ -12,6 +12,7 @@
 @JsonSubTypes({
   @JsonSubTypes.Type(value = CommandResult.Done.class, name = "done"),
   @JsonSubTypes.Type(value = CommandResult.Refused.class, name = "refused"),
+  @JsonSubTypes.Type(value = CommandResult.GatewayConfigStored.class, name = "stored"),
   @JsonSubTypes.Type(value = CommandResult.Planned.class, name = "planned"),
   @JsonSubTypes.Type(value = CommandResult.Confirmed.class, name = "confirmed"),
   @JsonSubTypes.Type(value = CommandResult.ClaimGranted.class, name = "granted"),
@@ -21,6 +22,13 @@
   /** The command has taken effect, now or when it was applied earlier. */
   record Done() implements CommandResult {}
 
+  /**
+   * The configuration of the gateway is stored, or a newer one is.
+   *
+   * @param revision revision from which the views of entries hold it or a newer one
+   */
+  record GatewayConfigStored(long revision) implements CommandResult {}
+
   /** The command was refused and changed nothing. */
   record Refused(Reason reason, String detail) implements CommandResult {}
 
--- a/control/src/main/java/org/endivemux/control/state/ControlState.java
+++ b/control/src/main/java/org/endivemux/control/state/ControlState.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.endivemux.control.state.Command.Stamped;
 import org.endivemux.control.state.EntryView.NumberedChange;
 import org.endivemux.model.BackendServerId;
@@ -20,6 +22,7 @@
 import org.endivemux.model.Reason;
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.wire.MessagePackCodec;
+import org.endivemux.wire.Packed;
 
 /**
  * Replicated state machine that applies committed commands.
@@ -39,7 +42,7 @@
   private final Usage usage = new Usage();
   private final Orders orders = new Orders();
   private final WindowReports windowReports = new WindowReports();
-  private String gatewayDocument = "";
+  private final GatewayConfigHistory gateway = new GatewayConfigHistory();
   private final Set<BackendServerId> leaving = new HashSet<>();
   private final Deque<NumberedChange> changes = new ArrayDeque<>();
   private EntryView view = EntryView.empty();
@@ -102,11 +105,8 @@
   }
 
   private CommandResult putGatewayConfig(long index, Command.PutGatewayConfig command) {
-    if (command.config().version() > view.gateway().version()) {
-      gatewayDocument = command.document();
-      publish(index, new ViewChange.GatewayConfigured(command.config()));
-    }
-    return new CommandResult.Done();
+    gateway.put(index, command).ifPresent(change -> view = view.apply(index, change));
+    return new CommandResult.GatewayConfigStored(gateway.revision());
   }
 
   private CommandResult confirm(long index, Command.ConfirmPlan command) {
@@ -156,9 +156,6 @@
 
   private void publish(long index, ViewChange change) {
     view = view.apply(index, change);
-    if (change instanceof ViewChange.GatewayConfigured) {
-      changes.removeIf(older -> older.change() instanceof ViewChange.GatewayConfigured);
-    }
     changes.addLast(new NumberedChange(index, change));
     while (changes.size() > MAX_RETAINED_CHANGES) {
       changesAfterRevision = changes.removeFirst().revision();
@@ -170,14 +167,18 @@
     return view;
   }
 
-  /**
-   * Returns the changes that turn the view at a revision into the current one, or empty when they
-   * are not all retained. Of several gateway configurations only the newest is among them.
-   */
-  public Optional<List<NumberedChange>> changesSince(long revision) {
-    return revision < changesAfterRevision || revision > view.revision()
-        ? Optional.empty()
-        : Optional.of(changes.stream().filter(c -> c.revision() > revision).toList());
+  /** Returns what turns the view at a revision into the current one. */
+  public ViewUpdate updateSince(long revision) {
+    boolean retained = revision >= changesAfterRevision && revision <= view.revision();
+    if (!retained) {
+      return new ViewUpdate(Optional.of(view.save()), gateway.changeSince(0).stream().toList());
+    }
+    Stream<NumberedChange> newer = changes.stream().filter(c -> c.revision() > revision);
+    return new ViewUpdate(
+        Optional.empty(),
+        Stream.concat(newer, gateway.changeSince(revision).stream())
+            .sorted(Comparator.comparingLong(NumberedChange::revision))
+            .toList());
   }
 
   /** Returns the claim on a call. */
@@ -205,9 +206,14 @@
     return usage.firstUnreported();
   }
 
-  /** Returns the gateway configuration in force as the operator sent it; empty before the first. */
-  public String gatewayDocument() {
-    return gatewayDocument;
+  /** Returns the gateway configuration in force. */
+  public GatewayConfig gatewayConfig() {
+    return gateway.config();
+  }
+
+  /** Returns the gateway configuration in force as the operator sent it. */
+  public Optional<Packed> gatewayDocument() {
+    return gateway.document();
   }
 
   /** Returns the wall-clock usage windows whose counts are final. */
@@ -232,8 +238,7 @@
             usage.save(),
             orders.all(),
             List.copyOf(leaving),
-            view.gateway(),
-            gatewayDocument,
+            gateway.save(),
             windowReports.save());
     return Bytes.of(MessagePackCodec.encode(saved));
   }
@@ -248,7 +253,7 @@
     claims.restore(saved.claims());
     usage.restore(saved.usage());
     orders.restore(saved.orders());
-    gatewayDocument = saved.gatewayDocument();
+    gateway.restore(saved.gateway());
     windowReports.restore(saved.windowReports());
     leaving.clear();
     leaving.addAll(saved.leaving());
@@ -261,8 +266,8 @@
                 plans.version(),
                 plans.declaration(),
                 keys.all(),
-                new HashSet<>(leaving),
-                saved.gateway()));
+                new HashSet<>(leaving)));
+    gateway.changeSince(0).ifPresent(whole -> view = view.apply(saved.revision(), whole.change()));
   }
 
   /** The whole state for a snapshot. Immutable and thread-safe. */
@@ -275,8 +280,7 @@
       Usage.Saved usage,
       List<Order> orders,
       List<BackendServerId> leaving,
-      GatewayConfig gateway,
-      String gatewayDocument,
+      GatewayConfigHistory.Saved gateway,
       WindowReports.Saved windowReports) {
     static Saved initial() {
       return new Saved(
@@ -288,8 +292,7 @@
           Usage.Saved.initial(),
           List.of(),
           new ArrayList<>(),
-          GatewayConfig.none(),
-          "",
+          GatewayConfigHistory.Saved.none(),
           WindowReports.Saved.initial());
     }
   }
--- a/control/src/main/java/org/endivemux/control/state/EntryView.java
+++ b/control/src/main/java/org/endivemux/control/state/EntryView.java
@@ -1,8 +1,8 @@
 package org.endivemux.control.state;
 
+import io.vavr.Lazy;
 import io.vavr.collection.HashMap;
 import io.vavr.collection.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -11,6 +11,7 @@
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyInfo;
 import org.endivemux.model.gateway.GatewayConfig;
+import org.endivemux.model.gateway.GatewayConfigUpdate;
 
 /**
  * The part of the replicated state on which entries base their decisions.
@@ -24,7 +25,7 @@
   private final Declaration declaration;
   private final HashMap<KeyDigest, KeyInfo> keys;
   private final HashSet<BackendServerId> leaving;
-  private final GatewayConfig gateway;
+  private final Lazy<GatewayConfig> gateway;
 
   private EntryView(
       long revision,
@@ -32,7 +33,7 @@
       Declaration declaration,
       HashMap<KeyDigest, KeyInfo> keys,
       HashSet<BackendServerId> leaving,
-      GatewayConfig gateway) {
+      Lazy<GatewayConfig> gateway) {
     this.revision = revision;
     this.version = version;
     this.declaration = declaration;
@@ -44,10 +45,10 @@
   /** Returns the view before any change. */
   public static EntryView empty() {
     return new EntryView(
-        0, 0, Declaration.empty(), HashMap.empty(), HashSet.empty(), GatewayConfig.none());
+        0, 0, Declaration.empty(), HashMap.empty(), HashSet.empty(), Lazy.of(GatewayConfig::none));
   }
 
-  /** Returns the view with the saved content. */
+  /** Returns the view with the saved content and without a configuration of the gateway. */
   public static EntryView of(Saved saved) {
     return new EntryView(
         saved.revision(),
@@ -55,7 +56,7 @@
         saved.declaration(),
         HashMap.ofAll(saved.keys()),
         HashSet.ofAll(saved.leaving()),
-        saved.gateway());
+        Lazy.of(GatewayConfig::none));
   }
 
   /** Returns the view after a change at a revision. */
@@ -69,7 +70,7 @@
       return new EntryView(newRevision, version, declaration, changed, leaving, gateway);
     }
     if (change instanceof ViewChange.GatewayConfigured it) {
-      return new EntryView(newRevision, version, declaration, keys, leaving, it.config());
+      return new EntryView(newRevision, version, declaration, keys, leaving, updated(it));
     }
     ViewChange.LeavingChanged it = (ViewChange.LeavingChanged) change;
     var changed =
@@ -77,6 +78,19 @@
     return new EntryView(newRevision, version, declaration, keys, changed, gateway);
   }
 
+  /** A whole configuration is decoded on first use, since most voters never need it. */
+  private Lazy<GatewayConfig> updated(ViewChange.GatewayConfigured change) {
+    if (change.base() == 0) {
+      return Lazy.of(() -> update(change).applyTo(GatewayConfig.none()));
+    }
+    GatewayConfig changed = update(change).applyTo(gateway.get());
+    return Lazy.of(() -> changed);
+  }
+
+  private static GatewayConfigUpdate update(ViewChange.GatewayConfigured change) {
+    return change.update().unpack(GatewayConfigUpdate.class);
+  }
+
   public long revision() {
     return revision;
   }
@@ -107,32 +121,33 @@
 
   /** Returns the gateway configuration in force. */
   public GatewayConfig gateway() {
-    return gateway;
+    return gateway.get();
   }
 
-  /** Returns the content, to be sent to an entry. */
+  /** Returns the content except for the gateway's configuration, to be sent to an entry. */
   public Saved save() {
-    return new Saved(
-        revision, version, declaration, keys.toJavaMap(), leaving.toJavaSet(), gateway);
+    return new Saved(revision, version, declaration, keys.toJavaMap(), leaving.toJavaSet());
   }
 
-  /** A whole view, as sent to an entry. Immutable and thread-safe. */
+  /**
+   * A whole view without the gateway's configuration, as sent to an entry. Immutable and
+   * thread-safe.
+   */
   public record Saved(
       long revision,
       long version,
       Declaration declaration,
       Map<KeyDigest, KeyInfo> keys,
-      Set<BackendServerId> leaving,
-      GatewayConfig gateway) {}
+      Set<BackendServerId> leaving) {}
 
   /** A change with its revision. Immutable and thread-safe. */
   public record NumberedChange(long revision, ViewChange change) {}
 
-  /** Returns the view after numbered changes in order. */
-  public EntryView applyAll(List<NumberedChange> changes) {
-    EntryView view = this;
-    for (NumberedChange numbered : changes) {
-      view = view.apply(numbered.revision(), numbered.change());
+  /** Returns the view after an update; the revision does not decrease within an update. */
+  public EntryView apply(ViewUpdate update) {
+    EntryView view = update.whole().map(EntryView::of).orElse(this);
+    for (NumberedChange numbered : update.changes()) {
+      view = view.apply(Math.max(view.revision(), numbered.revision()), numbered.change());
     }
     return view;
   }
--- a/control/src/main/java/org/endivemux/control/state/ViewChange.java
+++ b/control/src/main/java/org/endivemux/control/state/ViewChange.java
@@ -5,7 +5,8 @@
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyInfo;
-import org.endivemux.model.gateway.GatewayConfig;
+import org.endivemux.model.gateway.GatewayConfigUpdate;
+import org.endivemux.wire.Packed;
 
 /** Change of an {@link EntryView}. All implementations are immutable and thread-safe. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -20,8 +21,13 @@
 
   record KeyChanged(KeyDigest digest, KeyInfo info) implements ViewChange {}
 
-  /** Replaces the gateway's configuration and so all earlier changes of it. */
-  record GatewayConfigured(GatewayConfig config) implements ViewChange {}
+  /**
+   * Changes the gateway's configuration.
+   *
+   * @param base version that the update is based on; 0 if it holds the whole configuration
+   * @param update a {@link GatewayConfigUpdate}
+   */
+  record GatewayConfigured(long base, Packed update) implements ViewChange {}
 
   record LeavingChanged(BackendServerId backendServer, boolean leaving) implements ViewChange {}
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -13,7 +13,6 @@
 import org.endivemux.control.state.Claim;
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.ControlState;
-import org.endivemux.control.state.EntryView.NumberedChange;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.Incarnation;
 import org.endivemux.model.VmId;
@@ -122,7 +121,7 @@
       long revision = voter.publishedRevision();
       logger.atInfo().log(
           "event=config_committed version=%d revision=%d behind=%s",
-          it.config().version(), revision, registry.entriesBehind(revision));
+          it.version(), revision, registry.entriesBehind(revision));
     }
   }
 
@@ -190,14 +189,12 @@
   }
 
   private ControlReply news(ControlState state, ControlRequest.Poll poll) {
-    Optional<List<NumberedChange>> changes = state.changesSince(poll.revision());
     boolean sameEntries = poll.entriesNumber() == registry.listNumber();
     return new ControlReply.PollReply(
         voter.status().term(),
-        changes.isPresent() ? Optional.empty() : Optional.of(state.view().save()),
-        changes.orElse(List.of()),
+        state.updateSince(poll.revision()),
         registry.listNumber(),
-        sameEntries ? Optional.empty() : Optional.of(registry.entries()),
+        sameEntries ? Optional.empty() : Optional.of(registry.packedList()),
         gatewayNews(poll));
   }
 
--- a/control/src/main/java/org/endivemux/control/voter/EntryRegistry.java
+++ b/control/src/main/java/org/endivemux/control/voter/EntryRegistry.java
@@ -7,9 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import org.endivemux.control.message.ControlReply.EntryState;
+import org.endivemux.control.message.ControlReply.PollReply;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.Incarnation;
 import org.endivemux.model.VmId;
+import org.endivemux.wire.Packed;
 
 /**
  * Tracks which entries are live and which revision each of them has, as known to one leader.
@@ -25,6 +27,8 @@
   private static final long ENTRY_EXPIRY_NANOS = FRESHNESS.toNanos() * 5 / 4;
 
   private final Map<VmId, LastPoll> polls = new HashMap<>();
+  private Packed packedList = Packed.of(List.of());
+  private long packedListNumber;
   private long listChanges = 1;
   private long leaderTerm = -1;
   private long leaderSince;
@@ -74,6 +78,15 @@
         .toList();
   }
 
+  /** Returns the current list of entries for {@link PollReply}, encoded once for all entries. */
+  synchronized Packed packedList() {
+    if (packedListNumber != listNumber()) {
+      packedList = Packed.of(entries());
+      packedListNumber = listNumber();
+    }
+    return packedList;
+  }
+
   synchronized List<EntryState> states() {
     return polls.values().stream()
         .map(poll -> new EntryState(poll.entry(), poll.revision()))
--- a/control/src/main/java/org/endivemux/control/voter/PlannedCapacity.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlannedCapacity.java
@@ -21,7 +21,7 @@
   public List<CapacityOrder> wanted(ControlState state, List<GatewayServer> servers, long now) {
     return servers.isEmpty()
         ? List.of()
-        : state.view().gateway().services().stream()
+        : state.gatewayConfig().services().stream()
             .flatMap(spec -> wanted(spec, servers, now))
             .toList();
   }
--- a/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
+++ b/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.stream.LongStream;
 import net.jqwik.api.Example;
-import org.endivemux.control.state.EntryView.NumberedChange;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.ClientLimits;
@@ -26,7 +25,11 @@
   private void put(long version, String document) {
     GatewayConfig config =
         new GatewayConfig(version, List.of(), List.of(), ClientLimits.defaults(), List.of());
-    apply(new Command.PutGatewayConfig(config, document));
+    apply(Command.PutGatewayConfig.of(config, document));
+  }
+
+  private static String document(ControlState state) {
+    return state.gatewayDocument().orElseThrow().unpack(String.class);
   }
 
   @Example
@@ -35,16 +38,16 @@
     put(5, "five");
     put(7, "other");
     assertThat(state.view().gateway().version()).isEqualTo(7);
-    assertThat(state.gatewayDocument()).isEqualTo("seven");
+    assertThat(document(state)).isEqualTo("seven");
   }
 
   /** Guards against entries that start late because they are sent every earlier configuration. */
   @Example
   void entryThatStartsIsSentTheNewestConfigurationOnly() {
     LongStream.rangeClosed(1, 100).forEach(version -> put(version, "document"));
-    List<NumberedChange> news = state.changesSince(0).orElseThrow();
-    assertThat(news.size()).isEqualTo(1);
-    assertThat(EntryView.empty().applyAll(news).gateway().version()).isEqualTo(100);
+    ViewUpdate update = state.updateSince(0);
+    assertThat(update.changes().size()).isEqualTo(1);
+    assertThat(EntryView.empty().apply(update).gateway().version()).isEqualTo(100);
   }
 
   /** Guards against a view that lacks changes of other kinds when configurations are left out. */
@@ -57,8 +60,8 @@
     put(2, "two");
     apply(new Command.SetLeaving(List.of(server), true, "operator"));
     put(3, "three");
-    EntryView started = EntryView.empty().applyAll(state.changesSince(0).orElseThrow());
-    EntryView followed = knownView.applyAll(state.changesSince(known).orElseThrow());
+    EntryView started = EntryView.empty().apply(state.updateSince(0));
+    EntryView followed = knownView.apply(state.updateSince(known));
     assertThat(List.of(started, followed))
         .allMatch(view -> view.gateway().version() == 3)
         .allMatch(view -> view.isLeaving(server))
@@ -71,7 +74,7 @@
     apply(new Command.FinaliseWindow(12, Map.of(new OrganisationId("o"), 5L)));
     ControlState restored = new ControlState();
     restored.restore(state.save());
-    assertThat(restored.gatewayDocument()).isEqualTo("three");
+    assertThat(document(restored)).isEqualTo("three");
     assertThat(restored.view().gateway().version()).isEqualTo(3);
     assertThat(restored.windowReports().firstUnsent().orElseThrow().requests())
         .containsEntry(new OrganisationId("o"), 5L);
--- a/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
+++ b/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
@@ -103,7 +103,7 @@
     long sentAt = nanos();
     var unused =
         new GatewayConfigWriter(control, WRITE_LIMIT)
-            .write(new Command.PutGatewayConfig(load.config(version), "document"))
+            .write(Command.PutGatewayConfig.of(load.config(version), "document"))
             .retryWhen(Retry.indefinitely())
             .subscribe(none -> {}, error -> {}, () -> acknowledge(version, sentAt));
   }
--- a/integration/src/test/java/org/endivemux/integration/SlopesBench.java
+++ b/integration/src/test/java/org/endivemux/integration/SlopesBench.java
@@ -182,10 +182,10 @@
       ControlState state = stateWith(size, 20, 0);
       long revision = state.view().revision();
       confirm(state, 500_000, declaration(size + 1, 20, 1));
-      byte[] sent = MessagePackCodec.encode(state.changesSince(revision).orElseThrow());
-      var changes = state.changesSince(revision).orElseThrow();
+      byte[] sent = MessagePackCodec.encode(state.updateSince(revision));
+      var update = state.updateSince(revision);
       EntryView view = stateWith(size, 20, 0).view();
-      double cpu = cpuMicros(20, i -> view.applyAll(changes));
+      double cpu = cpuMicros(20, i -> view.apply(update));
       System.out.printf(
           "SLOPE change of one organisation among | %d | %d | - | %.0f%n", size, sent.length, cpu);
     }
