Acknowledge a configuration only when it is in force at the entries in contact

What callers saw: requests handled as an older version says, later than 2 s after the newer version was acknowledged.

Cause: the acknowledgement promises a time limit for entries, but was given by the voters' commit alone; nothing connected the two. Whatever delayed an entry (a slow link, a large reply, a leader that had just changed) broke the promise.

Change: after the commit the write waits, at the leader, until no entry in contact has an older revision. An entry is in contact while its polls arrive and it gets replies; each poll now says for how long it got none. A new leader first waits until entries that it doesn't know must have asked it. The timeouts of a poll grow eightfold while none is answered, so that a reply that takes longer than one timeout isn't thrown away and asked for again forever.

--- a/control/src/main/java/org/endivemux/control/client/ControlClient.java
+++ b/control/src/main/java/org/endivemux/control/client/ControlClient.java
@@ -57,15 +57,19 @@
 
   /** Asks the leader; fails with {@link ControlException} if none replies within the limit. */
   public Mono<ControlReply> ask(ControlRequest request, Duration limit) {
-    return Mono.defer(() -> askPresumedLeader(request))
+    return ask(request, limit, attemptTimeout(request));
+  }
+
+  /** Asks the leader, and another voter each time that an attempt has taken this long. */
+  Mono<ControlReply> ask(ControlRequest request, Duration limit, Duration attemptTimeout) {
+    return Mono.defer(() -> askPresumedLeader(request, attemptTimeout))
         .retryWhen(Retry.fixedDelay(Long.MAX_VALUE, RETRY_DELAY))
         .timeout(
             limit, Mono.error(() -> new ControlException("No control leader answered in time.")));
   }
 
-  private Mono<ControlReply> askPresumedLeader(ControlRequest request) {
+  private Mono<ControlReply> askPresumedLeader(ControlRequest request, Duration attemptTimeout) {
     VmId asked = presumedLeader;
-    Duration attemptTimeout = attemptTimeout(request);
     return voterClients
         .apply(asked)
         .ask(request, attemptTimeout)
--- a/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
@@ -8,13 +8,18 @@
 import org.endivemux.control.state.CommandResult;
 import reactor.core.publisher.Mono;
 
-/** Writes configurations of the gateway for an operator. Thread-safe. */
+/**
+ * Writes configurations of the gateway for an operator.
+ *
+ * <p>Invariant: a write completes only when the configuration, or a newer one, is committed and in
+ * force at every entry that is in contact with the leader. Thread-safe.
+ */
 public final class GatewayConfigWriter {
   private final ControlClient control;
   private final Duration limit;
 
   /**
-   * @param limit maximum time of one write
+   * @param limit maximum time to commit a configuration, and then to see it in force
    */
   public GatewayConfigWriter(ControlClient control, Duration limit) {
     this.control = control;
@@ -29,12 +34,24 @@
     return control
         .ask(new ControlRequest.Submit(command), limit)
         .map(reply -> ((ControlReply.SubmitReply) reply).result())
-        .flatMap(GatewayConfigWriter::checkDone);
+        .flatMap(this::awaitInForce);
   }
 
-  private static Mono<Void> checkDone(CommandResult result) {
-    return result instanceof CommandResult.GatewayConfigStored
+  private Mono<Void> awaitInForce(CommandResult result) {
+    if (!(result instanceof CommandResult.GatewayConfigStored stored)) {
+      return Mono.error(new ControlException("The change was not committed."));
+    }
+    return control
+        .ask(new ControlRequest.AwaitInForce(stored.revision(), limit.toMillis()), limit)
+        .cast(ControlReply.InForce.class)
+        .flatMap(GatewayConfigWriter::checkInForce);
+  }
+
+  private static Mono<Void> checkInForce(ControlReply.InForce reply) {
+    return reply.everywhere()
         ? Mono.empty()
-        : Mono.error(new ControlException("The change was not committed."));
+        : Mono.error(
+            new ControlException(
+                "The change is committed, but not yet in force at " + reply.missing() + "."));
   }
 }
--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -30,6 +30,14 @@
 public final class ViewFollower implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration POLL_TIMEOUT = Duration.ofMillis(1500);
+  private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1200);
+
+  /**
+   * How far the timeouts of a poll grow while none is answered, so that a reply that takes longer
+   * than a timeout is not asked for again forever. Links detect a leader that is gone sooner.
+   */
+  private static final int MAX_TIMEOUT_FACTOR = 8;
+
   private static final Duration POLL_PAUSE = Duration.ofMillis(20);
 
   /** A poll that finds nothing new takes less than half of this. */
@@ -62,6 +70,10 @@
   private volatile State state;
   private volatile Disposable polling = () -> {};
   private volatile long usageDueAtNanos;
+  private volatile int timeoutFactor = 1;
+
+  /** When the last poll that was answered was sent, or the start. */
+  private volatile long answeredAtNanos;
 
   public ViewFollower(
       ControlClient client,
@@ -76,6 +88,7 @@
     this.clocks = clocks;
     this.guard = clocks.guard();
     this.usageDueAtNanos = clocks.nanos();
+    this.answeredAtNanos = clocks.nanos();
     this.state = new State(EntryView.empty(), List.of(), 0, clocks.nanos(), false);
   }
 
@@ -91,7 +104,8 @@
   }
 
   private Mono<ControlReply> logFailure(Throwable error) {
-    logger.atWarning().log("event=poll_failed cause=%s", error);
+    timeoutFactor = Math.min(2 * timeoutFactor, MAX_TIMEOUT_FACTOR);
+    logger.atWarning().log("event=poll_failed cause=%s nextFactor=%d", error, timeoutFactor);
     return Mono.empty();
   }
 
@@ -112,23 +126,30 @@
     return Mono.defer(
             () -> {
               long sentAtNanos = clocks.nanos();
+              int factor = timeoutFactor;
               return client
-                  .ask(request(before, batch), POLL_TIMEOUT)
+                  .ask(
+                      request(before, batch, sentAtNanos),
+                      POLL_TIMEOUT.multipliedBy(factor),
+                      ATTEMPT_TIMEOUT.multipliedBy(factor))
                   .doOnNext(reply -> applyReply((ControlReply.PollReply) reply, sentAtNanos));
             })
         .doOnNext(reply -> usage.acknowledge(batch, ((ControlReply.PollReply) reply).term()));
   }
 
-  private ControlRequest request(State before, UsageLedger.Batch batch) {
+  private ControlRequest request(State before, UsageLedger.Batch batch, long nowNanos) {
     return new ControlRequest.Poll(
         self.get(),
         before.view().revision(),
         before.entriesNumber(),
         batch.lines(),
-        gateway.poll());
+        gateway.poll(),
+        Duration.ofNanos(nowNanos - answeredAtNanos).toMillis());
   }
 
   private void applyReply(ControlReply.PollReply reply, long sentAtNanos) {
+    timeoutFactor = 1;
+    answeredAtNanos = sentAtNanos;
     gateway.applyReply(reply.gateway());
     client.setVoters(reply.gateway().voters());
     State before = state;
--- a/control/src/main/java/org/endivemux/control/message/ControlReply.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -42,7 +42,7 @@
     }
   }
 
-  /** The newest gateway configuration as the operator sent it, a packed string. */
+  /** The newest gateway configuration as the operator sent it, packed bytes. */
   record GatewayConfigFound(Optional<Packed> document) implements ControlReply {}
 
   /**
@@ -91,7 +91,7 @@
   /**
    * Tells whether a revision is in force.
    *
-   * @param everywhere whether it is in force at every live entry
+   * @param everywhere whether it is in force at every entry in contact
    * @param missing entries at which it may not be in force yet
    */
   record InForce(boolean everywhere, List<VmId> missing) implements ControlReply {
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -35,20 +35,23 @@
    * @param usage running totals that the leader has not committed yet; the reply is sent once they
    *     are
    * @param gateway the gateway's part of the poll
+   * @param unansweredMillis time since the entry sent the last poll that was answered, or since its
+   *     start
    */
   record Poll(
       EntryInfo entry,
       long revision,
       long entriesNumber,
       List<UsageLine> usage,
-      GatewayPoll gateway)
+      GatewayPoll gateway,
+      long unansweredMillis)
       implements ControlRequest {
     public Poll {
       usage = List.copyOf(usage);
     }
   }
 
-  /** Waits until a revision is in force at every live entry, or until the limit. */
+  /** Waits until a revision is in force at every entry in contact, or until the limit. */
   record AwaitInForce(long revision, long limitMillis) implements ControlRequest {}
 
   record FindClaim(OrganisationId organisation, IdempotencyKey key) implements ControlRequest {}
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -121,7 +121,7 @@
       long revision = voter.publishedRevision();
       logger.atInfo().log(
           "event=config_committed version=%d revision=%d behind=%s",
-          it.version(), revision, registry.entriesBehind(revision));
+          it.version(), revision, registry.entriesBehind(revision, clocks.nanos()));
     }
   }
 
@@ -138,8 +138,10 @@
   }
 
   private Mono<ControlReply> poll(ControlRequest.Poll poll) {
+    long now = clocks.nanos();
+    long answeredAt = now - Duration.ofMillis(poll.unansweredMillis()).toNanos();
     Optional<Incarnation> replaced =
-        registry.recordPoll(poll.entry(), poll.revision(), clocks.nanos());
+        registry.recordPoll(poll.entry(), poll.revision(), answeredAt, now);
     replaced.ifPresent(gone -> abandonClaims(poll.entry().vm(), gone));
     recordGatewayPoll(poll);
     return poll.usage().isEmpty()
@@ -251,13 +253,14 @@
         .timeout(Duration.ofMillis(request.limitMillis()), Mono.just(false))
         .map(
             inForce ->
-                new ControlReply.InForce(inForce, registry.entriesBehind(request.revision())))
+                new ControlReply.InForce(
+                    inForce, registry.entriesBehind(request.revision(), clocks.nanos())))
         .map(this::ifStillLeader);
   }
 
   private boolean isInForce(long revision) {
-    return registry.earlierProofsExpired(clocks.nanos())
-        && registry.entriesBehind(revision).isEmpty();
+    long now = clocks.nanos();
+    return registry.earlierProofsExpired(now) && registry.entriesBehind(revision, now).isEmpty();
   }
 
   private ControlReply report(ControlState state) {
--- a/control/src/main/java/org/endivemux/control/voter/EntryRegistry.java
+++ b/control/src/main/java/org/endivemux/control/voter/EntryRegistry.java
@@ -33,9 +33,14 @@
   private long leaderTerm = -1;
   private long leaderSince;
 
-  /** Records a poll; returns the earlier incarnation of the same VM that it replaces, if any. */
-  synchronized Optional<Incarnation> recordPoll(EntryInfo entry, long revision, long now) {
-    LastPoll previous = polls.put(entry.vm(), new LastPoll(entry, revision, now));
+  /**
+   * Records a poll; returns the earlier incarnation of the same VM that it replaces, if any.
+   *
+   * @param answeredAt when the entry sent the last poll that was answered
+   */
+  synchronized Optional<Incarnation> recordPoll(
+      EntryInfo entry, long revision, long answeredAt, long now) {
+    LastPoll previous = polls.put(entry.vm(), new LastPoll(entry, revision, answeredAt, now));
     if (previous == null || !previous.entry().equals(entry)) {
       listChanges++;
     }
@@ -94,10 +99,15 @@
         .toList();
   }
 
-  /** Returns the entries that may still decide by state older than a revision. */
-  synchronized List<VmId> entriesBehind(long revision) {
+  /**
+   * Returns the entries in contact that may still decide by state older than a revision. An entry
+   * is in contact while its polls arrive and the replies reach it.
+   */
+  synchronized List<VmId> entriesBehind(long revision, long now) {
     return polls.values().stream()
         .filter(poll -> poll.revision() < revision)
+        .filter(poll -> now - poll.at() <= ENTRY_EXPIRY_NANOS)
+        .filter(poll -> poll.at() - poll.answeredAt() <= ENTRY_EXPIRY_NANOS)
         .map(poll -> poll.entry().vm())
         .sorted()
         .toList();
@@ -108,5 +118,5 @@
     return now - leaderSince > ENTRY_EXPIRY_NANOS;
   }
 
-  private record LastPoll(EntryInfo entry, long revision, long at) {}
+  private record LastPoll(EntryInfo entry, long revision, long answeredAt, long at) {}
 }
