Refuse for good only by a configuration that is proved to be the newest

What callers saw: 404 or 401 for a route or key that a newer configuration has, from an entry that had not got it yet.

Cause: an entry answered 404, 401 and 403 as if its configuration were the newest, however long it had heard nothing. Such an answer is a claim about the newest state.

Requests that its configuration allows are served as before.

--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -24,7 +24,8 @@
  *
  * <p>Invariants: the key alone determines the organisation; the configuration in force at a
  * request's arrival decides about it; without any configuration every request is refused as not
- * run. Thread-safe.
+ * run; a request is refused for good only by a configuration that is proved to be the newest.
+ * Thread-safe.
  */
 public final class Gateway {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -107,7 +108,7 @@
     }
     Optional<HostRoute> route = current.route(head.host(), head.path());
     if (route.isEmpty()) {
-      return refuse(Reason.UNKNOWN_ROUTE);
+      return refuseForGood(Reason.UNKNOWN_ROUTE);
     }
     Optional<OrganisationKeys> organisation =
         head.key()
@@ -115,7 +116,7 @@
             .flatMap(key -> current.organisation(Keys.digest(key)));
     boolean needsKey = current.hasOrganisations() && !route.get().open();
     if (needsKey && organisation.isEmpty()) {
-      return refuse(head.key().isPresent() ? Reason.WRONG_KEY : Reason.NO_KEY);
+      return refuseForGood(head.key().isPresent() ? Reason.WRONG_KEY : Reason.NO_KEY);
     }
     if (crashes.isHeldBack(head.prompt())) {
       return refuse(Reason.PROMPT_QUARANTINED);
@@ -123,6 +124,14 @@
     return Either.right(admitted(head, route.get(), organisation));
   }
 
+  /**
+   * Refuses what the configuration does not allow, if no newer one can be in force; otherwise the
+   * caller may come back.
+   */
+  private Either<GatewayRefusal, AdmittedRequest> refuseForGood(Reason reason) {
+    return refuse(follower.isFresh() ? reason : Reason.STALE_STATE);
+  }
+
   private static Either<GatewayRefusal, AdmittedRequest> refuse(Reason reason) {
     return Either.left(GatewayRefusal.of(reason));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/RouteTable.java
+++ b/gateway/src/main/java/org/endivemux/gateway/RouteTable.java
@@ -1,12 +1,13 @@
 package org.endivemux.gateway;
 
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.HostRoute;
@@ -22,18 +23,19 @@
  */
 final class RouteTable {
   private final GatewayConfig config;
-  private final Map<String, List<HostRoute>> byHost;
+  private final Map<String, Map<String, HostRoute>> byHostAndPrefix;
   private final Map<ServiceName, ServiceSpec> services;
   private final Map<KeyDigest, OrganisationKeys> organisations = new HashMap<>();
 
   RouteTable(GatewayConfig config) {
     this.config = config;
-    Comparator<HostRoute> longestFirst =
-        Comparator.comparingInt((HostRoute route) -> route.pathPrefix().length()).reversed();
-    this.byHost =
+    this.byHostAndPrefix =
         config.routes().stream()
-            .sorted(longestFirst)
-            .collect(Collectors.groupingBy(route -> route.host().toLowerCase(Locale.ROOT)));
+            .collect(
+                Collectors.groupingBy(
+                    route -> route.host().toLowerCase(Locale.ROOT),
+                    Collectors.toMap(
+                        HostRoute::pathPrefix, route -> route, (first, second) -> first)));
     this.services =
         config.services().stream().collect(Collectors.toMap(ServiceSpec::name, spec -> spec));
     config
@@ -47,9 +49,16 @@
     return config;
   }
 
+  /**
+   * Looks up each prefix of the path that ends with a slash, since only such prefixes are valid.
+   */
   Optional<HostRoute> route(String host, String path) {
-    return byHost.getOrDefault(host.toLowerCase(Locale.ROOT), List.of()).stream()
-        .filter(route -> path.startsWith(route.pathPrefix()))
+    Map<String, HostRoute> byPrefix =
+        byHostAndPrefix.getOrDefault(host.toLowerCase(Locale.ROOT), Map.of());
+    return IntStream.iterate(
+            path.lastIndexOf('/'), slash -> slash >= 0, slash -> path.lastIndexOf('/', slash - 1))
+        .mapToObj(slash -> byPrefix.get(path.substring(0, slash + 1)))
+        .filter(Objects::nonNull)
         .findFirst();
   }
 
