--- a/control/src/main/java/org/endivemux/control/state/Command.java
+++ b/control/src/main/java/org/endivemux/control/state/Command.java
@@ -116,10 +116,10 @@
    * Puts a gateway configuration into force if its version is higher than the one in force.
    *
    * @param whole a {@link GatewayConfigUpdate} that holds the configuration as a whole
-   * @param document text that the operator sent, returned when the configuration is read
+   * @param document bytes that the operator sent, returned when the configuration is read
    */
   record PutGatewayConfig(long version, Packed whole, Packed document) implements Command {
-    public static PutGatewayConfig of(GatewayConfig config, String document) {
+    public static PutGatewayConfig of(GatewayConfig config, byte[] document) {
       return new PutGatewayConfig(
           config.version(), Packed.of(GatewayConfigUpdate.whole(config)), Packed.of(document));
     }
--- a/control/src/main/java/org/endivemux/control/state/GatewayConfigHistory.java
+++ b/control/src/main/java/org/endivemux/control/state/GatewayConfigHistory.java
@@ -112,7 +112,7 @@
   record Saved(long revision, long version, Packed whole, Packed document) {
     static Saved none() {
       Packed whole = Packed.of(GatewayConfigUpdate.whole(GatewayConfig.none()));
-      return new Saved(0, 0, whole, Packed.of(""));
+      return new Saved(0, 0, whole, Packed.of(new byte[0]));
     }
 
     private GatewayConfig decode() {
--- a/control/src/main/java/org/endivemux/control/voter/DiskWriter.java
+++ b/control/src/main/java/org/endivemux/control/voter/DiskWriter.java
@@ -59,7 +59,7 @@
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       fatal.accept(e);
     }
   }
--- a/control/src/main/java/org/endivemux/control/voter/Voter.java
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -195,7 +195,7 @@
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       fatal.accept(e);
     }
   }
--- a/control/src/test/java/org/endivemux/control/state/GatewayConfigHistoryTest.java
+++ b/control/src/test/java/org/endivemux/control/state/GatewayConfigHistoryTest.java
@@ -28,7 +28,8 @@
   private long index;
 
   private void put(GatewayConfig config) {
-    state.apply(++index, new Command.Stamped(index, Command.PutGatewayConfig.of(config, "text")));
+    state.apply(
+        ++index, new Command.Stamped(index, Command.PutGatewayConfig.of(config, new byte[10])));
   }
 
   private static int size(ViewUpdate update) {
--- a/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
+++ b/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.LongStream;
 import net.jqwik.api.Example;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.model.Bytes;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.ClientLimits;
 import org.endivemux.model.gateway.GatewayConfig;
@@ -25,11 +26,11 @@
   private void put(long version, String document) {
     GatewayConfig config =
         new GatewayConfig(version, List.of(), List.of(), ClientLimits.defaults(), List.of());
-    apply(Command.PutGatewayConfig.of(config, document));
+    apply(Command.PutGatewayConfig.of(config, Bytes.ofUtf8(document).toArray()));
   }
 
   private static String document(ControlState state) {
-    return state.gatewayDocument().orElseThrow().unpack(String.class);
+    return Bytes.of(state.gatewayDocument().orElseThrow().unpack(byte[].class)).toUtf8();
   }
 
   @Example
--- a/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
+++ b/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
@@ -114,7 +114,7 @@
     long sentAt = nanos();
     var unused =
         new GatewayConfigWriter(control, WRITE_LIMIT)
-            .write(Command.PutGatewayConfig.of(load.config(version), "document"))
+            .write(Command.PutGatewayConfig.of(load.config(version), new byte[10]))
             .retryWhen(Retry.indefinitely())
             .subscribe(none -> {}, error -> {}, () -> acknowledge(version, sentAt));
   }
--- a/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
@@ -128,11 +128,15 @@
     Logging.flush();
   }
 
+  /** Ends the process even if there is no memory left to log the error. */
   private static void haltOnFatalError(Throwable error) {
-    logger.atSevere().withCause(error).log(
-        "event=fatal remedy=\"see the documentation page on lost disks\"");
-    Logging.flush();
-    Runtime.getRuntime().halt(DATA_ERROR);
+    try {
+      logger.atSevere().withCause(error).log(
+          "event=fatal remedy=\"see the documentation page on lost disks\"");
+      Logging.flush();
+    } finally {
+      Runtime.getRuntime().halt(DATA_ERROR);
+    }
   }
 
   private static int fail(String message) {
