Handle SIGHUP from the first statement of a process on

Cause: the handler was installed last, after the data folder, the endpoints and the links; until then the JVM's own handler ended the process.

Change: main installs the handler before anything else, logging included. A signal that arrives before there is a daemon to tell is kept and makes it read its settings again as soon as it has started. What remains is the time until the JVM runs main.

--- a/daemon/src/main/java/org/endivemux/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonMain.java
@@ -9,6 +9,7 @@
   private DaemonMain() {}
 
   public static void main(String[] args) throws InterruptedException {
+    HangupSignal.install();
     Logging.start();
     int status = DaemonProcess.run(args);
     if (status >= 0) {
--- a/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
@@ -96,7 +96,7 @@
     try {
       GatewayDaemon daemon =
           new GatewayDaemon(settings, Clocks.system(), DaemonProcess::haltOnFatalError).start();
-      HangupSignal.handle(() -> reload(daemon, file));
+      HangupSignal.onHangup(() -> reload(daemon, file));
       Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "drain"));
       return -1;
     } catch (ChannelBindException e) {
--- a/daemon/src/main/java/org/endivemux/daemon/HangupSignal.java
+++ b/daemon/src/main/java/org/endivemux/daemon/HangupSignal.java
@@ -1,20 +1,27 @@
 package org.endivemux.daemon;
 
-import com.google.common.flogger.FluentLogger;
 import java.lang.reflect.Proxy;
 
 /**
- * Runs an action when the process receives SIGHUP, which would terminate it otherwise.
+ * Handles SIGHUP, which would terminate the process otherwise.
  *
- * <p>Uses reflection, since {@code sun.misc.Signal} is not part of the Java platform's API.
- * Stateless.
+ * <p>Invariants: a signal that arrives before an action is set runs the action as soon as it is
+ * set; the action runs on one thread at a time. This class has no logger and uses no other class of
+ * the program, so that it can be installed before anything else is loaded. Thread-safe.
  */
 final class HangupSignal {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static Runnable action;
+  private static boolean pending;
 
   private HangupSignal() {}
 
-  static void handle(Runnable action) {
+  /**
+   * Starts to handle the signal. It is looked up by reflection, since {@code sun.misc.Signal} is
+   * not part of the Java platform's API.
+   *
+   * @throws IllegalStateException if this Java platform has no such signal
+   */
+  static void install() {
     try {
       Class<?> signal = Class.forName("sun.misc.Signal");
       Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -24,7 +31,7 @@
               new Class<?>[] {handler},
               (self, method, args) -> {
                 if (method.getName().equals("handle")) {
-                  action.run();
+                  received();
                 }
                 return null;
               });
@@ -32,7 +39,24 @@
           .getMethod("handle", signal, handler)
           .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
     } catch (ReflectiveOperationException e) {
-      logger.atWarning().withCause(e).log("event=hangup_unhandled");
+      throw new IllegalStateException("SIGHUP cannot be handled on this Java platform.", e);
+    }
+  }
+
+  /** Sets what each signal runs; runs it at once if a signal has arrived before. */
+  static synchronized void onHangup(Runnable newAction) {
+    action = newAction;
+    if (pending) {
+      pending = false;
+      action.run();
+    }
+  }
+
+  private static synchronized void received() {
+    if (action == null) {
+      pending = true;
+    } else {
+      action.run();
     }
   }
 }
--- a/integration/src/test/java/org/endivemux/integration/SlopesBench.java
+++ b/integration/src/test/java/org/endivemux/integration/SlopesBench.java
@@ -14,8 +14,8 @@
 import org.endivemux.control.state.ClaimOwner;
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.ControlState;
-import org.endivemux.control.state.ViewUpdate;
 import org.endivemux.control.state.EntryView;
+import org.endivemux.control.state.ViewUpdate;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.Bytes;
 import org.endivemux.model.ClassName;
@@ -204,8 +204,7 @@
           new ControlRequest.Poll(
               entry(1), 123456, 5_000_001, List.of(), ControlRequest.GatewayPoll.none(), 0);
       var quiet =
-          new ControlReply.PollReply(
-              5, nothingNew, 5_000_001, Optional.empty(), gatewayReply);
+          new ControlReply.PollReply(5, nothingNew, 5_000_001, Optional.empty(), gatewayReply);
       var list =
           new ControlReply.PollReply(
               5, nothingNew, 5_000_001, Optional.of(Packed.of(entries)), gatewayReply);
