Responses that are not complete share a bounded memory, fair between services

Cause: each response was bounded to 8 MB, but not their sum; the heap of 150 MB was exhausted, and the errors hit whatever the event loop did next.

Change: responses that are not complete hold their bytes in a memory of 24 MB (ResponseMemory). A service may take as much as is left free, so one service with faulty servers gets half of it, two a third each, and there is always room for the others. The same holds for an event of a stream that does not end. Bodies are kept in their parts and joined once instead of in a doubling buffer; error responses of more than 64 KB are not kept beside further attempts. A page of the platform's list is bounded to 4 instead of 16 MB.

ResponseReaderTest reads 50 responses without end of 900 KB, bodies and events: before, all of them were kept.

--- a/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
@@ -17,7 +17,7 @@
   private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
   /** Far more than a page of the list of backend servers needs. */
-  private static final int MAX_REPLY_BYTES = 16 << 20;
+  private static final int MAX_REPLY_BYTES = 4 << 20;
 
   private PlatformHttp() {}
 
--- a/control/src/test/java/org/endivemux/control/state/GatewayConfigHistoryTest.java
+++ b/control/src/test/java/org/endivemux/control/state/GatewayConfigHistoryTest.java
@@ -24,7 +24,7 @@
 final class GatewayConfigHistoryTest {
   private static final int ROUTES = 2000;
 
-  private final ControlState state = new ControlState();
+  private ControlState state = new ControlState();
   private long index;
 
   private void put(GatewayConfig config) {
@@ -58,6 +58,7 @@
   /** Guards against an entry whose configuration depends on which changes it missed. */
   @Property(tries = 50)
   void everyEntryComesToTheNewestConfiguration(@ForAll long seed) {
+    state = new ControlState();
     Random random = new Random(seed);
     List<EntryView> entries = new ArrayList<>(List.of(EntryView.empty()));
     for (long version = 1; version <= 60; version++) {
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/BodyCollector.java
@@ -0,0 +1,45 @@
+package org.endivemux.gateway;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.endivemux.gateway.ResponseMemory.ResponseTooLargeException;
+
+/**
+ * Collects the parts of one response's body.
+ *
+ * <p>Invariant: the memory of each part is taken from the shared one before the part is kept. Not
+ * thread-safe: used by one attempt.
+ */
+final class BodyCollector {
+  private final ResponseMemory.Holding holding;
+  private final int limit;
+  private final List<byte[]> parts = new ArrayList<>();
+  private int bytes;
+
+  /**
+   * @param limit maximum number of bytes of the body
+   */
+  BodyCollector(ResponseMemory.Holding holding, int limit) {
+    this.holding = holding;
+    this.limit = limit;
+  }
+
+  /** Adds a part; throws {@link ResponseTooLargeException} if there is no room for it. */
+  void add(byte[] part) {
+    if (part.length > limit - bytes) {
+      throw new ResponseTooLargeException("The response is longer than " + limit + " bytes.");
+    }
+    holding.resize((long) bytes + part.length);
+    bytes += part.length;
+    parts.add(part);
+  }
+
+  /** Returns the whole body. */
+  byte[] join() {
+    ByteBuffer whole = ByteBuffer.allocate(bytes);
+    parts.forEach(whole::put);
+    parts.clear();
+    return whole.array();
+  }
+}
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -14,6 +14,7 @@
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.wire.BoundedBytes;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
 
 /**
  * Reads the response to one attempt and decides whether it is passed on.
@@ -26,6 +27,12 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
   private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
+  /** A sixth of the heap; a response takes twice its size while its parts are joined. */
+  private static final long MEMORY_BYTES = 24 << 20;
+
+  /** An error response is kept, in case that no other attempt succeeds, unless it is longer. */
+  private static final int MAX_RETAINED_BYTES = 64 << 10;
+
   /**
    * How much of the body of a rejection is read, so that its connection can be reused. A body that
    * exceeds this closes the connection, and the request goes on to another server.
@@ -39,6 +46,7 @@
   private final ServerPool pool;
   private final GatewaySyncState syncState;
   private final LongSupplier nanos;
+  private final ResponseMemory memory = new ResponseMemory(MEMORY_BYTES);
 
   ResponseReader(ServerPool pool, GatewaySyncState syncState, LongSupplier nanos) {
     this.pool = pool;
@@ -63,17 +71,31 @@
     if (progress.headDelivered() && response.status() != OK) {
       return Flux.error(new AttemptFailure.ServerError());
     }
+    return Flux.using(
+        () -> memory.holding(request.service()),
+        holding -> readBody(request, progress, id, sentAt, response, holding),
+        ResponseMemory.Holding::release);
+  }
+
+  private Flux<ResponsePart> readBody(
+      AdmittedRequest request,
+      Progress progress,
+      RequestId id,
+      long sentAt,
+      Response response,
+      ResponseMemory.Holding holding) {
     if (request.route().kind() == RequestKind.STREAM && response.status() == OK) {
       StreamReader stream =
           new StreamReader(
-              progress, () -> recordFirstEvent(request, progress, id, nanos.getAsLong()));
+              progress, holding, () -> recordFirstEvent(request, progress, id, nanos.getAsLong()));
       return stream.read(response.status(), response.headers(), response.body());
     }
     recordFirstEvent(request, progress, id, sentAt);
-    return BoundedBytes.collect(
-            response.body(),
-            MAX_RESPONSE_BYTES,
-            () -> new IllegalStateException("The response is longer than the gateway can buffer."))
+    BodyCollector collector = new BodyCollector(holding, MAX_RESPONSE_BYTES);
+    return response
+        .body()
+        .doOnNext(collector::add)
+        .then(Mono.fromSupplier(collector::join))
         .flatMapMany(bytes -> completeResponse(progress, response, bytes));
   }
 
@@ -91,7 +113,9 @@
     headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
     ResponsePart.Head head = new ResponsePart.Head(response.status(), headers);
     if (response.status() >= FIRST_SERVER_ERROR) {
-      progress.retain(new Progress.RetainedResponse(head, bytes));
+      if (bytes.length <= MAX_RETAINED_BYTES) {
+        progress.retain(new Progress.RetainedResponse(head, bytes));
+      }
       return Flux.error(new AttemptFailure.ServerError());
     }
     progress.delivered(progress.lastEvent());
--- a/gateway/src/main/java/org/endivemux/gateway/StreamReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/StreamReader.java
@@ -17,11 +17,16 @@
 final class StreamReader {
   private final SseSplitter splitter = new SseSplitter();
   private final Progress progress;
+  private final ResponseMemory.Holding holding;
   private final Runnable onFirstEvent;
   private boolean started;
 
-  StreamReader(Progress progress, Runnable onFirstEvent) {
+  /**
+   * @param holding memory of the event that is not complete yet
+   */
+  StreamReader(Progress progress, ResponseMemory.Holding holding, Runnable onFirstEvent) {
     this.progress = progress;
+    this.holding = holding;
     this.onFirstEvent = onFirstEvent;
   }
 
@@ -31,7 +36,9 @@
   }
 
   private List<ResponsePart> parts(int status, HttpHeaders headers, byte[] bytes) {
+    holding.resize((long) splitter.partialBytes() + bytes.length);
     List<SseEvent> events = splitter.feed(bytes);
+    holding.resize(splitter.partialBytes());
     if (!events.isEmpty() && !started) {
       started = true;
       onFirstEvent.run();
--- /dev/null
+++ b/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
@@ -0,0 +1,135 @@
+package org.endivemux.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import net.jqwik.api.Example;
+import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.voter.Clocks;
+import org.endivemux.gateway.BackendPort.Response;
+import org.endivemux.gateway.ResponseMemory.ResponseTooLargeException;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.ServerKind;
+import org.endivemux.model.crash.CrashNews;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.HostRoute;
+import org.endivemux.model.gateway.RequestKind;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.Share;
+import org.endivemux.routing.fleet.FleetJob;
+import org.endivemux.routing.fleet.FleetScheduler;
+import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.PromptShape;
+import org.endivemux.routing.fleet.ServerNotices;
+import reactor.core.publisher.Flux;
+import reactor.core.scheduler.Schedulers;
+
+/** Checks how much of responses that do not end is kept. */
+final class ResponseReaderTest {
+  private static final ServiceName FAULTY = new ServiceName("faulty");
+  private static final ServiceName SOUND = new ServiceName("sound");
+  private static final int RESPONSES = 50;
+  private static final byte[] PART = new byte[900 << 10];
+
+  private final ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
+  private final ResponseReader reader =
+      new ResponseReader(
+          new ServerPool(
+              new FleetScheduler(new FailureDomain("d"), notices),
+              notices,
+              System::nanoTime,
+              Schedulers.parallel()),
+          new GatewaySyncState(
+              Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
+          System::nanoTime);
+  private final List<Throwable> failures = new ArrayList<>();
+
+  private Flux<ResponsePart> read(ServiceName service, RequestKind kind, Flux<byte[]> body) {
+    AdmittedRequest request = request(service, kind);
+    Progress progress = new Progress(OptionalLong.empty());
+    Response response =
+        new Response(200, new DefaultHttpHeaders(), false, false, false, Duration.ZERO, body);
+    return reader.read(request, progress, binding(service), System.nanoTime(), response);
+  }
+
+  private static AdmittedRequest request(ServiceName service, RequestKind kind) {
+    HostRoute route =
+        new HostRoute(
+            "r",
+            "h",
+            "/p/",
+            kind,
+            1000,
+            100,
+            1,
+            List.of(new Share(service, 1)),
+            1,
+            true,
+            false,
+            false,
+            0);
+    RequestHead head =
+        new RequestHead(
+            "id",
+            "h",
+            HttpMethod.POST,
+            "/p/x",
+            Optional.empty(),
+            OptionalLong.empty(),
+            OptionalLong.empty(),
+            PromptShape.none(),
+            new DefaultHttpHeaders());
+    return new AdmittedRequest(head, route, service, Optional.empty(), 1, false, 0, 1);
+  }
+
+  private static Binding binding(ServiceName service) {
+    FleetJob job =
+        new FleetJob(new RequestId("id"), service, 1, 0, 1, PromptShape.none(), false, Set.of());
+    GatewayServer server =
+        new GatewayServer(
+            new BackendServerId("s"),
+            service,
+            "10.0.0.1",
+            new FailureDomain("d"),
+            4,
+            false,
+            ServerKind.STEADY);
+    return new Binding(job, server, Optional.empty(), 0);
+  }
+
+  private void readResponsesWithoutEnd(RequestKind kind) {
+    for (int i = 0; i < RESPONSES; i++) {
+      var unused =
+          read(FAULTY, kind, Flux.just(PART).concatWith(Flux.never()))
+              .subscribe(part -> {}, failures::add);
+    }
+  }
+
+  /** Guards against responses without end that exhaust the memory for other services' responses. */
+  @Example
+  void bodiesWithoutEndAreEndedWhenTheyHoldTooMuch() {
+    readResponsesWithoutEnd(RequestKind.IDEMPOTENT);
+    assertThat(failures.size()).isGreaterThan(RESPONSES / 2);
+    assertThat(failures).allMatch(ResponseTooLargeException.class::isInstance);
+    List<ResponsePart> parts =
+        read(SOUND, RequestKind.NON_IDEMPOTENT, Flux.just(PART)).collectList().block();
+    assertThat(parts).hasSize(2);
+  }
+
+  /** Guards against single events without end that exhaust the memory together. */
+  @Example
+  void eventsWithoutEndAreEndedWhenTheyHoldTooMuch() {
+    readResponsesWithoutEnd(RequestKind.STREAM);
+    assertThat(failures.size()).isGreaterThan(RESPONSES / 2);
+    assertThat(failures).allMatch(ResponseTooLargeException.class::isInstance);
+  }
+}
--- a/wire/src/main/java/org/endivemux/wire/sse/SseSplitter.java
+++ b/wire/src/main/java/org/endivemux/wire/sse/SseSplitter.java
@@ -40,6 +40,11 @@
     return events;
   }
 
+  /** Returns the number of bytes that belong to an event that is not complete yet. */
+  public int partialBytes() {
+    return partial.size();
+  }
+
   /** Returns whether the bytes so far end with a complete event. */
   public boolean isBetweenEvents() {
     return partial.size() == 0;
