Answer what a planned stop cannot let end; pass nothing on once an entry is closed

Cause, found here as well: whether an entry was closed was decided by a request's head alone. A request whose body came slowly, or that waited for a server, was passed on at any later time; whatever was in progress when draining ended was cut with the process, whatever had been read of it.

Change: PlannedStop holds the phases of a stop. Once it is closed, a request that no server was sent is refused as not run, also after its body and its wait. 300 ms before draining ends, requests in progress are answered: 504 for what may have run, 503 for what has not; a body that is still arriving is not waited for.

GatewayShutdownTest: a sale at a server that never responds and an upload whose body never comes both get their response before the process ends.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -17,6 +17,7 @@
 import org.endivemux.gateway.DirectListing;
 import org.endivemux.gateway.Gateway;
 import org.endivemux.gateway.GatewayCounters;
+import org.endivemux.gateway.PlannedStop;
 import org.endivemux.gateway.ServerPool;
 import org.endivemux.gateway.ServiceRetryAllowances;
 import org.endivemux.model.EntryInfo;
@@ -32,6 +33,7 @@
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.ServerNotices;
 import org.endivemux.wire.PeerLink;
+import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -42,8 +44,9 @@
  * Assembles the components of an entry of the gateway.
  *
  * <p>Invariant: a leaving entry is first removed from the list that callers get, keeps serving
- * callers that still have its address, then refuses new requests, and stops once no request is in
- * flight. Started and stopped by one thread.
+ * callers that still have its address, then refuses what it has not passed on yet, and stops once
+ * no request is in flight; each request that it has read is answered before the process ends.
+ * Started and stopped by one thread.
  */
 final class GatewayEntry {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -51,6 +54,9 @@
   /** Draining ends this long before the process is killed, so that it can exit by itself. */
   private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(500);
 
+  /** Requests in progress are answered this long before draining ends. */
+  private static final Duration LAST_ANSWERS_MARGIN = Duration.ofMillis(300);
+
   /**
    * A leaving entry accepts new requests for this multiple of the entry list's lifetime, since
    * callers may still use an old list.
@@ -71,8 +77,7 @@
   private final ServerPool pool;
   private final DirectListing listing;
   private final LoopResources loop;
-  private volatile boolean leaving;
-  private volatile boolean closed;
+  private final PlannedStop planned = new PlannedStop();
 
   GatewayEntry(
       GatewaySettings settings,
@@ -122,9 +127,10 @@
                     settings.retrySlack()),
                 this::entryCount,
                 clocks::nanos),
+            planned,
             clocks::nanos,
             timers);
-    this.callers = new CallerEndpoint(gateway, counters, () -> leaving, () -> closed);
+    this.callers = new CallerEndpoint(gateway, counters, planned);
     this.directory =
         new DirectoryEndpoint(
             this::addresses, settings.entriesLifetime(), this::isReady, metricsText);
@@ -148,7 +154,7 @@
   }
 
   private boolean isReady() {
-    return gateway.isConfigured() && !leaving;
+    return gateway.isConfigured() && !planned.isLeaving();
   }
 
   private EntryInfo info(Incarnation incarnation) {
@@ -188,18 +194,26 @@
 
   /** Leaves and drains; completes when no request is in flight or the drain time has passed. */
   Mono<Void> stop() {
-    leaving = true;
+    planned.leave();
     logger.atInfo().log("event=leaving inFlight=%d", callers.inFlight());
     Duration serving =
         Duration.ofMillis((long) (settings.entriesLifetime().toMillis() * SERVED_LIFETIMES));
     Duration limit = settings.drain().minus(SHUTDOWN_MARGIN);
+    Disposable lastAnswers =
+        Mono.delay(limit.minus(LAST_ANSWERS_MARGIN)).subscribe(tick -> endRequests());
     return Mono.delay(serving)
-        .doOnNext(tick -> closed = true)
+        .doOnNext(tick -> planned.close())
         .then(Mono.defer(this::awaitIdle))
         .timeout(limit, Mono.empty())
+        .doOnTerminate(lastAnswers::dispose)
         .doOnTerminate(() -> logger.atInfo().log("event=left inFlight=%d", callers.inFlight()));
   }
 
+  private void endRequests() {
+    logger.atWarning().log("event=requests_ended inFlight=%d", callers.inFlight());
+    planned.end();
+  }
+
   private Mono<Void> awaitIdle() {
     return Flux.interval(Duration.ZERO, IDLE_CHECK_INTERVAL)
         .onBackpressureDrop()
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -50,6 +50,7 @@
       GatewayCounters counters,
       IntSupplier entries,
       ServiceRetryAllowances retries,
+      PlannedStop stop,
       LongSupplier nanos,
       Scheduler timers) {
     this.follower = follower;
@@ -67,6 +68,7 @@
             () -> table,
             entries,
             retries,
+            stop,
             nanos,
             timers);
     follower.onChange(this::viewChanged);
--- a/gateway/src/main/java/org/endivemux/gateway/GatewayRefusal.java
+++ b/gateway/src/main/java/org/endivemux/gateway/GatewayRefusal.java
@@ -7,6 +7,7 @@
   private static final long serialVersionUID = 1;
 
   private static final long MILLIS_PER_SECOND = 1000;
+  private static final long DRAINING_RETRY_MILLIS = 100;
 
   private final Reason reason;
   private final long retryAfterMillis;
@@ -16,6 +17,11 @@
     return new GatewayRefusal(reason, reason.retryAfterSeconds() * MILLIS_PER_SECOND);
   }
 
+  /** Returns the refusal of an entry that leaves; another entry can be asked almost at once. */
+  public static GatewayRefusal draining() {
+    return new GatewayRefusal(Reason.DRAINING, DRAINING_RETRY_MILLIS);
+  }
+
   public GatewayRefusal(Reason reason) {
     this(reason, 0);
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -70,6 +70,7 @@
   private final Supplier<RouteTable> table;
   private final IntSupplier entries;
   private final ServiceRetryAllowances retries;
+  private final PlannedStop stop;
   private final LongSupplier nanos;
   private final Scheduler timers;
   private final AtomicLong attemptIds = new AtomicLong();
@@ -83,6 +84,7 @@
       Supplier<RouteTable> table,
       IntSupplier entries,
       ServiceRetryAllowances retries,
+      PlannedStop stop,
       LongSupplier nanos,
       Scheduler timers) {
     this.pool = pool;
@@ -93,6 +95,7 @@
     this.table = table;
     this.entries = entries;
     this.retries = retries;
+    this.stop = stop;
     this.nanos = nanos;
     this.timers = timers;
   }
@@ -104,7 +107,8 @@
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
     return EarlyEnd.failOn(
             attempt(request, body, progress),
-            Mono.delay(timeLeft, timers).map(tick -> new TimeoutException()))
+            Mono.firstWithSignal(Mono.delay(timeLeft, timers).then(), stop.ended())
+                .then(Mono.fromSupplier(TimeoutException::new)))
         .onErrorResume(error -> finalResponse(progress, error));
   }
 
@@ -141,6 +145,10 @@
       AdmittedRequest request, byte[] body, Progress progress, Binding binding, SendMarker marker) {
     RequestId id = binding.job().id();
     PromptShape prompt = request.head().prompt();
+    if (stop.isClosed() && progress.attempts() == 0) {
+      pool.release(id, AttemptResult.CANCELLED);
+      return Flux.error(GatewayRefusal.draining());
+    }
     if (crashes.isHeldBack(prompt)) {
       pool.release(id, AttemptResult.CANCELLED);
       return Flux.error(GatewayRefusal.of(Reason.PROMPT_QUARANTINED));
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -179,6 +179,7 @@
             () -> 1,
             new ServiceRetryAllowances(
                 new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
+            new PlannedStop(),
             System::nanoTime,
             Schedulers.parallel());
     return relay.run(request, new byte[0]);
--- a/integration/src/test/java/org/endivemux/integration/GatewayShutdownTest.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayShutdownTest.java
@@ -2,15 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.endivemux.platform.standin.CallerStandIn;
+import org.endivemux.platform.standin.EngineStandIn;
 import org.endivemux.platform.standin.RouteKind;
 
 /** Tests that a planned stop of an entry under load answers every request that it accepted. */
@@ -18,6 +21,9 @@
   private static final int CALLERS = 8;
   private static final int CALLS_BEFORE_THE_STOP = 200;
 
+  /** Entries accept requests for 1.5 s of a stop, which takes 3.5 s; routes have a timeout of 4 s. */
+  private static final Duration INTO_THE_STOP = Duration.ofMillis(500);
+
   @Example
   void requestsAcceptedAroundThePlannedStopAreAnswered() {
     try (GatewayFleet fleet = new GatewayFleet(2, 4);
@@ -45,6 +51,31 @@
     }
   }
 
+  /** Guards against requests that the end of the process cuts off without any response. */
+  @Example
+  void requestsThatCannotEndInTimeGetAResponseBeforeTheProcessEnds() {
+    try (GatewayFleet fleet = new GatewayFleet(2, 4);
+        CallerStandIn caller = new CallerStandIn("caller", fleet.witness)) {
+      fleet.start();
+      Vm entry = fleet.entries.get(0);
+      String address = fleet.callersAddress(entry);
+      Await.until("served", () -> caller.call(address, RouteKind.SALE).isServed());
+      fleet.engines.forEach(engine -> engine.mode(EngineStandIn.Mode.SILENT));
+      entry.terminate();
+      LockSupport.parkNanos(INTO_THE_STOP.toNanos());
+      CompletableFuture<Integer> sale =
+          CompletableFuture.supplyAsync(() -> caller.call(address, RouteKind.SALE).status());
+      try (RawCall upload =
+          RawCall.send(
+              fleet.callersSocket(entry),
+              CallerStandIn.rawUploadHead("upload") + "Content-Length: 100\r\n\r\n{")) {
+        assertThat(upload.readUntil("\r\n")).contains(" 503 ");
+      }
+      assertThat(sale.join()).isEqualTo(504);
+      entry.awaitExit();
+    }
+  }
+
   private static boolean refusesAsNotRun(CallerStandIn caller, String address) {
     return caller.call(address, RouteKind.LOOK_UP).status() == 503;
   }
