Read the list of backend servers entry by entry

Shown here: a page with an entry that is nested 200,000 deep, or with a number of 2,000 digits, was lost as a whole (StreamConstraintsException), on each reading, so that the leader and entries without a leader stopped following the list. No process ended. A port of 0, 70000 or x, or negative slots, were taken and failed only at each connection.

A server that was known stays as it was while its entry is odd, since the entry says nothing of it (ServerListing); of several entries with one id the first counts.

--- a/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
+++ b/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
@@ -17,6 +17,7 @@
 import org.endivemux.control.voter.PlatformPort.Verdict;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerListing;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -170,11 +171,12 @@
     }
     listReadAt = clocks.nanos();
     long term = leaderTerm;
-    return platform.servers().doOnNext(servers -> applyList(term, servers)).then();
+    return platform.servers().doOnNext(listing -> applyList(term, listing)).then();
   }
 
-  private void applyList(long term, List<GatewayServer> servers) {
-    if (directory.replace(term, servers)) {
+  private void applyList(long term, ServerListing listing) {
+    if (directory.replace(term, listing)) {
+      List<GatewayServer> servers = directory.servers();
       listChangedAt = clocks.nanos();
       logger.atInfo().log(
           "event=servers_changed term=%d count=%d leaving=%d",
--- a/control/src/main/java/org/endivemux/control/voter/PlatformPort.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformPort.java
@@ -1,11 +1,10 @@
 package org.endivemux.control.voter;
 
-import java.util.List;
 import java.util.Map;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.ServerKind;
-import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerListing;
 import org.endivemux.model.gateway.ServiceName;
 import reactor.core.publisher.Mono;
 
@@ -17,7 +16,7 @@
  */
 public interface PlatformPort {
   /** Reads the whole list of backend servers, which lags. */
-  Mono<List<GatewayServer>> servers();
+  Mono<ServerListing> servers();
 
   /** Reports a usage window. */
   Mono<Verdict> report(long window, Map<OrganisationId, Long> requests, long fencing);
--- a/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
@@ -12,6 +12,7 @@
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListUpdate;
+import org.endivemux.model.gateway.ServerListing;
 
 /**
  * Holds the platform's list of backend servers as the leader last read it, and some earlier lists
@@ -36,8 +37,12 @@
   private long term = -1;
   private long changes;
 
-  /** Replaces the list; returns whether it differs from the previous one. */
-  synchronized boolean replace(long newTerm, List<GatewayServer> read) {
+  /**
+   * Replaces the list; returns whether it differs from the previous one. A server whose entry
+   * cannot be read stays as it was in this term.
+   */
+  synchronized boolean replace(long newTerm, ServerListing listing) {
+    List<GatewayServer> read = listing.completedFrom(newTerm == term ? servers : List.of());
     if (newTerm != term) {
       reportedLeaving.clear();
     }
--- a/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
@@ -3,12 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.ServerKind;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerListing;
 import org.endivemux.model.gateway.ServiceName;
 
 /** Checks that servers which told an entry that they leave are handed on as leaving. */
@@ -33,6 +35,10 @@
         .toList();
   }
 
+  private static ServerListing listing(List<GatewayServer> servers) {
+    return ServerListing.of(servers, Set.of());
+  }
+
   private List<BackendServerId> leaving() {
     return directory.servers().stream()
         .filter(GatewayServer::leaving)
@@ -45,21 +51,40 @@
    */
   @Example
   void reportedServerIsLeavingInThisListAndInLaterOnes() {
-    directory.replace(TERM, listed());
+    directory.replace(TERM, listing(listed()));
     assertThat(directory.reportLeaving(TERM, List.of(LEAVING))).isTrue();
     assertThat(leaving()).containsExactly(LEAVING);
     assertThat(directory.reportLeaving(TERM, List.of(LEAVING))).isFalse();
-    assertThat(directory.replace(TERM, listed())).isFalse();
+    assertThat(directory.replace(TERM, listing(listed()))).isFalse();
     assertThat(leaving()).containsExactly(LEAVING);
   }
 
   /** Guards against a server that starts under an earlier id being taken for the one that left. */
   @Example
   void reportEndsWhenTheServerIsNoLongerListed() {
-    directory.replace(TERM, listed());
+    directory.replace(TERM, listing(listed()));
     directory.reportLeaving(TERM, List.of(LEAVING));
-    directory.replace(TERM, listed().subList(2, 3));
-    directory.replace(TERM, listed());
+    directory.replace(TERM, listing(listed().subList(2, 3)));
+    directory.replace(TERM, listing(listed()));
     assertThat(leaving()).isEmpty();
   }
+
+  /** Guards against a sound server that gets no requests because its entry was overwritten. */
+  @Example
+  void serverWhoseEntryCannotBeReadStaysAsItWas() {
+    directory.replace(TERM, listing(listed()));
+    ServerListing odd = ServerListing.of(listed().subList(0, 2), Set.of(listed().get(2).id()));
+    assertThat(directory.replace(TERM, odd)).isFalse();
+    assertThat(directory.servers()).isEqualTo(listed());
+    directory.replace(TERM + 1, odd);
+    assertThat(directory.servers()).isEqualTo(listed().subList(0, 2));
+  }
+
+  @Example
+  void ofTwoEntriesWithOneIdTheFirstCounts() {
+    GatewayServer first = listed().get(0);
+    ServerListing twice = ServerListing.of(List.of(first, first.asLeaving()), Set.of(first.id()));
+    assertThat(twice.servers()).containsExactly(first);
+    assertThat(twice.unreadable()).isEmpty();
+  }
 }
--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerListing;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -29,7 +30,7 @@
   private static final long READ_INTERVAL_PER_ENTRY_NANOS = Duration.ofMillis(100).toNanos();
 
   private final GatewaySyncState syncState;
-  private final Supplier<Mono<List<GatewayServer>>> reader;
+  private final Supplier<Mono<ServerListing>> reader;
   private final IntSupplier entries;
   private final LongSupplier nanos;
   private volatile long readAt;
@@ -37,7 +38,7 @@
 
   public DirectListing(
       GatewaySyncState syncState,
-      Supplier<Mono<List<GatewayServer>>> reader,
+      Supplier<Mono<ServerListing>> reader,
       IntSupplier entries,
       LongSupplier nanos) {
     this.syncState = syncState;
@@ -69,8 +70,9 @@
                 error -> logger.atWarning().log("event=direct_list_failed cause=\"%s\"", error));
   }
 
-  private void apply(List<GatewayServer> servers) {
+  private void apply(ServerListing listing) {
     if (syncState.nanosSinceLeaderHeard() >= LEADER_SILENCE_NANOS) {
+      List<GatewayServer> servers = listing.completedFrom(syncState.servers());
       logger.atInfo().log("event=list_read_directly count=%d", servers.size());
       syncState.replaceServers(servers);
     }
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
@@ -11,6 +12,7 @@
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.model.crash.CrashNews;
+import org.endivemux.model.gateway.ServerListing;
 import reactor.core.publisher.Mono;
 
 /** Checks when an entry reads the platform's list itself. */
@@ -28,7 +30,7 @@
         syncState,
         () -> {
           reads.incrementAndGet();
-          return Mono.just(List.of());
+          return Mono.just(ServerListing.of(List.of(), Set.of()));
         },
         () -> entries,
         nanos::get);
