--- a/control/src/main/java/org/endivemux/control/state/GatewayConfigHistory.java
+++ b/control/src/main/java/org/endivemux/control/state/GatewayConfigHistory.java
@@ -74,13 +74,20 @@
 
   private NumberedChange changeFrom(long base) {
     return new NumberedChange(
-        newest.revision(), base == 0 ? newest.wholeChange() : differenceFrom(base));
+        newest.revision(), base == 0 ? newest.wholeChange() : differenceFrom(configs.get(base)));
   }
 
-  private ViewChange differenceFrom(long base) {
-    GatewayConfig older = configs.get(base).get();
-    GatewayConfigUpdate update =
-        GatewayConfigUpdate.between(older, configs.get(newest.revision()).get());
+  /**
+   * Decodes the newest configuration at most, so that the state machine's thread is not held up for
+   * longer: from an earlier one that is not decoded yet, the whole is sent instead of a difference.
+   */
+  private ViewChange differenceFrom(Lazy<GatewayConfig> base) {
+    GatewayConfig newer = config();
+    if (!base.isEvaluated()) {
+      return newest.wholeChange();
+    }
+    GatewayConfig older = base.get();
+    GatewayConfigUpdate update = GatewayConfigUpdate.between(older, newer);
     // Shares the unchanged items with the older version, so that many versions need little memory.
     GatewayConfig sharing = update.applyTo(older);
     configs.put(newest.revision(), Lazy.of(() -> sharing));
