--- a/gateway/src/main/java/org/endivemux/gateway/GatewayRefusal.java
+++ b/gateway/src/main/java/org/endivemux/gateway/GatewayRefusal.java
@@ -13,7 +13,7 @@
   private final long retryAfterMillis;
 
   /** Returns a refusal that asks callers to wait for the time that its reason states. */
-  static GatewayRefusal of(Reason reason) {
+  public static GatewayRefusal of(Reason reason) {
     return new GatewayRefusal(reason, reason.retryAfterSeconds() * MILLIS_PER_SECOND);
   }
 
--- /dev/null
+++ b/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
@@ -0,0 +1,70 @@
+package org.endivemux.gateway;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.ServerKind;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.HostRoute;
+import org.endivemux.model.gateway.RequestKind;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.Share;
+import org.endivemux.routing.fleet.FleetScheduler;
+import org.endivemux.routing.fleet.PromptShape;
+import org.endivemux.routing.fleet.ServerNotices;
+import reactor.core.scheduler.Schedulers;
+
+/** Makes requests, routes and servers for tests. Stateless. */
+final class Fixtures {
+  static final FailureDomain DOMAIN = new FailureDomain("a");
+
+  private Fixtures() {}
+
+  /** Returns a route of host {@code h} for paths below {@code /p/}. */
+  static HostRoute route(ServiceName service, RequestKind kind, boolean open) {
+    return new HostRoute(
+        "r",
+        "h",
+        "/p/",
+        kind,
+        1000,
+        100,
+        1,
+        List.of(new Share(service, 1)),
+        1,
+        open,
+        false,
+        false,
+        0);
+  }
+
+  static RequestHead head(String path, Optional<String> key, PromptShape prompt) {
+    return new RequestHead(
+        "id",
+        "h",
+        HttpMethod.POST,
+        path,
+        key,
+        OptionalLong.empty(),
+        OptionalLong.empty(),
+        prompt,
+        new DefaultHttpHeaders());
+  }
+
+  static GatewayServer server(String id, ServiceName service) {
+    return new GatewayServer(
+        new BackendServerId(id), service, "10.0.0.1", DOMAIN, 4, false, ServerKind.STEADY);
+  }
+
+  static ServerPool pool(LongSupplier nanos) {
+    ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
+    return new ServerPool(
+        new FleetScheduler(DOMAIN, notices), notices, nanos, Schedulers.parallel());
+  }
+}
--- a/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
@@ -3,14 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
@@ -36,15 +33,11 @@
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.GatewayConfigUpdate;
 import org.endivemux.model.gateway.GatewayServer;
-import org.endivemux.model.gateway.HostRoute;
 import org.endivemux.model.gateway.OrganisationKeys;
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
-import org.endivemux.model.gateway.Share;
-import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.PromptShape;
-import org.endivemux.routing.fleet.ServerNotices;
 import org.endivemux.wire.Packed;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -89,24 +82,9 @@
   }
 
   private static GatewayConfig config() {
-    HostRoute route =
-        new HostRoute(
-            "r",
-            "h",
-            "/p/",
-            RequestKind.IDEMPOTENT,
-            1000,
-            100,
-            1,
-            List.of(new Share(SERVICE, 1)),
-            1,
-            false,
-            false,
-            false,
-            0);
     return new GatewayConfig(
         1,
-        List.of(route),
+        List.of(Fixtures.route(SERVICE, RequestKind.IDEMPOTENT, false)),
         List.of(new ServiceSpec(SERVICE, 8, Optional.empty(), Optional.empty())),
         ClientLimits.defaults(),
         List.of(
@@ -115,15 +93,10 @@
   }
 
   private Gateway gateway() {
-    ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
     BackendPort backends = new NoBackends();
     return new Gateway(
         follower,
-        new ServerPool(
-            new FleetScheduler(new FailureDomain("d"), notices),
-            notices,
-            nanos::get,
-            Schedulers.parallel()),
+        Fixtures.pool(nanos::get),
         backends,
         syncState,
         new CrashWatch(backends, nanos::get, Schedulers.parallel()),
@@ -137,17 +110,8 @@
   }
 
   private Optional<Reason> refusal(String path, String key) {
-    RequestHead head =
-        new RequestHead(
-            "id",
-            "h",
-            HttpMethod.POST,
-            path,
-            Optional.of(key).filter(some -> !some.isEmpty()),
-            OptionalLong.empty(),
-            OptionalLong.empty(),
-            PromptShape.none(),
-            new DefaultHttpHeaders());
+    Optional<String> stated = Optional.of(key).filter(some -> !some.isEmpty());
+    RequestHead head = Fixtures.head(path, stated, PromptShape.none());
     Either<GatewayRefusal, AdmittedRequest> decision = gateway.admit(head);
     return decision.isLeft() ? Optional.of(decision.getLeft().reason()) : Optional.empty();
   }
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -4,7 +4,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -12,7 +11,6 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
@@ -22,11 +20,8 @@
 import net.jqwik.api.Property;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.control.voter.Clocks;
-import org.endivemux.model.BackendServerId;
-import org.endivemux.model.FailureDomain;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
-import org.endivemux.model.ServerKind;
 import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.gateway.ClientLimits;
 import org.endivemux.model.gateway.GatewayConfig;
@@ -36,10 +31,8 @@
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
 import org.endivemux.model.gateway.Share;
-import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.PromptPart;
 import org.endivemux.routing.fleet.PromptShape;
-import org.endivemux.routing.fleet.ServerNotices;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
@@ -126,14 +119,7 @@
   }
 
   private static GatewayServer server(int number) {
-    return new GatewayServer(
-        new BackendServerId("s" + number),
-        SERVICE,
-        "10.0.0." + number,
-        new FailureDomain("a"),
-        4,
-        false,
-        ServerKind.STEADY);
+    return Fixtures.server("s" + number, SERVICE);
   }
 
   private static Flux<ResponsePart> run(ScriptedBackend backend, HostRoute route) {
@@ -158,13 +144,7 @@
             List.of(new ServiceSpec(SERVICE, 8, Optional.empty(), Optional.empty())),
             ClientLimits.defaults(),
             List.of());
-    ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
-    ServerPool pool =
-        new ServerPool(
-            new FleetScheduler(new FailureDomain("a"), notices),
-            notices,
-            System::nanoTime,
-            Schedulers.parallel());
+    ServerPool pool = Fixtures.pool(System::nanoTime);
     pool.configure(config);
     pool.updateServers(List.of(server(1), server(2), server(3)));
     Relay relay =
@@ -186,17 +166,7 @@
   }
 
   private static AdmittedRequest admitted(HostRoute route, Duration limit, PromptShape prompt) {
-    RequestHead head =
-        new RequestHead(
-            "id",
-            "h",
-            HttpMethod.POST,
-            "/p/x",
-            Optional.empty(),
-            OptionalLong.empty(),
-            OptionalLong.empty(),
-            prompt,
-            new DefaultHttpHeaders());
+    RequestHead head = Fixtures.head("/p/x", Optional.empty(), prompt);
     long now = System.nanoTime();
     return new AdmittedRequest(
         head,
--- a/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,23 +14,14 @@
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.gateway.BackendPort.Response;
 import org.endivemux.gateway.ResponseMemory.ResponseTooLargeException;
-import org.endivemux.model.BackendServerId;
-import org.endivemux.model.FailureDomain;
 import org.endivemux.model.RequestId;
-import org.endivemux.model.ServerKind;
 import org.endivemux.model.crash.CrashNews;
-import org.endivemux.model.gateway.GatewayServer;
-import org.endivemux.model.gateway.HostRoute;
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
-import org.endivemux.model.gateway.Share;
 import org.endivemux.routing.fleet.FleetJob;
-import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.PromptShape;
-import org.endivemux.routing.fleet.ServerNotices;
 import reactor.core.publisher.Flux;
-import reactor.core.scheduler.Schedulers;
 
 /** Checks how much of responses that do not end is kept. */
 final class ResponseReaderTest {
@@ -40,14 +30,9 @@
   private static final int RESPONSES = 50;
   private static final byte[] PART = new byte[900 << 10];
 
-  private final ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
   private final ResponseReader reader =
       new ResponseReader(
-          new ServerPool(
-              new FleetScheduler(new FailureDomain("d"), notices),
-              notices,
-              System::nanoTime,
-              Schedulers.parallel()),
+          Fixtures.pool(System::nanoTime),
           new GatewaySyncState(
               Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
           System::nanoTime);
@@ -62,48 +47,21 @@
   }
 
   private static AdmittedRequest request(ServiceName service, RequestKind kind) {
-    HostRoute route =
-        new HostRoute(
-            "r",
-            "h",
-            "/p/",
-            kind,
-            1000,
-            100,
-            1,
-            List.of(new Share(service, 1)),
-            1,
-            true,
-            false,
-            false,
-            0);
-    RequestHead head =
-        new RequestHead(
-            "id",
-            "h",
-            HttpMethod.POST,
-            "/p/x",
-            Optional.empty(),
-            OptionalLong.empty(),
-            OptionalLong.empty(),
-            PromptShape.none(),
-            new DefaultHttpHeaders());
-    return new AdmittedRequest(head, route, service, Optional.empty(), 1, false, 0, 1);
+    return new AdmittedRequest(
+        Fixtures.head("/p/x", Optional.empty(), PromptShape.none()),
+        Fixtures.route(service, kind, true),
+        service,
+        Optional.empty(),
+        1,
+        false,
+        0,
+        1);
   }
 
   private static Binding binding(ServiceName service) {
     FleetJob job =
         new FleetJob(new RequestId("id"), service, 1, 0, 1, PromptShape.none(), false, Set.of());
-    GatewayServer server =
-        new GatewayServer(
-            new BackendServerId("s"),
-            service,
-            "10.0.0.1",
-            new FailureDomain("d"),
-            4,
-            false,
-            ServerKind.STEADY);
-    return new Binding(job, server, Optional.empty(), 0);
+    return new Binding(job, Fixtures.server("s", service), Optional.empty(), 0);
   }
 
   private void readResponsesWithoutEnd(RequestKind kind) {
