Read on what is left of a body for which there is no room, so that its refusal arrives

Change: a body that is not kept any more is read on within bounds, as one that is too long is (BoundedBytes). A response isn't lost because the rest of a body can't be read.

--- a/integration/src/test/java/org/endivemux/integration/RawCall.java
+++ b/integration/src/test/java/org/endivemux/integration/RawCall.java
@@ -59,6 +59,15 @@
     }
   }
 
+  /** Returns whether a part of a response has arrived. */
+  boolean hasResponse() {
+    try {
+      return socket.getInputStream().available() > 0;
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
   /** Returns the text received until {@code mark} is complete or the connection ends. */
   String readUntil(String mark) {
     StringBuilder text = new StringBuilder();
--- a/wire/src/main/java/org/endivemux/wire/BoundedBytes.java
+++ b/wire/src/main/java/org/endivemux/wire/BoundedBytes.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -47,13 +48,24 @@
    */
   public static Mono<byte[]> collectOrDiscard(
       Flux<byte[]> parts, int limit, Supplier<? extends RuntimeException> tooLong) {
+    return collectOrDiscard(parts, bytes -> bytes <= limit, tooLong);
+  }
+
+  /**
+   * Returns the whole body. Once {@code keeps} is false, reads and discards the rest, so that the
+   * sender can read a response afterwards, and then fails.
+   *
+   * @param keeps whether a body of which so many bytes have arrived is kept
+   */
+  public static Mono<byte[]> collectOrDiscard(
+      Flux<byte[]> parts, LongPredicate keeps, Supplier<? extends RuntimeException> failure) {
     return Mono.defer(
         () -> {
-          Collector collector = new Collector(limit);
+          Collector collector = new Collector(keeps);
           return parts
               .takeUntil(collector::addAndTestExcess)
               .takeUntilOther(collector.discardTimeout())
-              .then(Mono.defer(() -> collector.result(tooLong)));
+              .then(Mono.defer(() -> collector.result(failure)));
         });
   }
 
@@ -76,33 +88,37 @@
 
   /** Collects one body. Confined to the connection's event loop. */
   private static final class Collector {
-    private final int limit;
+    private final LongPredicate keeps;
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
-    private final Sinks.Empty<Void> limitExceeded = Sinks.empty();
+    private final Sinks.Empty<Void> discarding = Sinks.empty();
+    private boolean discards;
     private long bytes;
+    private long discarded;
 
-    Collector(int limit) {
-      this.limit = limit;
+    Collector(LongPredicate keeps) {
+      this.keeps = keeps;
     }
 
     /** Adds a part; returns whether reading must stop because too much has been discarded. */
     boolean addAndTestExcess(byte[] part) {
       bytes += part.length;
-      if (bytes <= limit) {
+      if (!discards && keeps.test(bytes)) {
         out.writeBytes(part);
-      } else {
-        out.reset();
-        var unused = limitExceeded.tryEmitEmpty();
+        return false;
       }
-      return bytes > limit + MAX_DISCARDED_BYTES;
+      discards = true;
+      discarded += part.length;
+      out.reset();
+      var unused = discarding.tryEmitEmpty();
+      return discarded > MAX_DISCARDED_BYTES;
     }
 
     Mono<Long> discardTimeout() {
-      return limitExceeded.asMono().then(Mono.delay(MAX_DISCARD_TIME));
+      return discarding.asMono().then(Mono.delay(MAX_DISCARD_TIME));
     }
 
-    Mono<byte[]> result(Supplier<? extends RuntimeException> tooLong) {
-      return bytes > limit ? Mono.error(tooLong.get()) : Mono.just(out.toByteArray());
+    Mono<byte[]> result(Supplier<? extends RuntimeException> failure) {
+      return discards ? Mono.error(failure.get()) : Mono.just(out.toByteArray());
     }
   }
 }
