Hosts that differ only in case are the same place

Cause: requests find their route whatever the case of the host, but the check of a configuration and the differences between two compare hosts as written (seen by the review): of two such routes, entries that got here by different differences could have chosen different ones.

Change: the check refuses them, as it does two routes of one host and prefix.

--- a/model/src/main/java/org/endivemux/model/gateway/GatewayConfigCheck.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayConfigCheck.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -22,7 +23,7 @@
             config.routes().stream().flatMap(route -> routeErrors(route, services)),
             repeated(
                 config.routes(),
-                route -> route.host() + route.pathPrefix(),
+                route -> route.host().toLowerCase(Locale.ROOT) + route.pathPrefix(),
                 "Two routes share the host and prefix "),
             repeated(config.services(), ServiceSpec::name, "Two services share the name "),
             repeated(
