--- a/model/src/main/java/org/endivemux/model/Reason.java
+++ b/model/src/main/java/org/endivemux/model/Reason.java
@@ -26,6 +26,8 @@
   KEY_WITHDRAWN_IN_STREAM(401, OUTCOME_UNKNOWN, 0, "The key was withdrawn during the answer."),
   NO_CAPACITY(503, NOT_RUN, 2, "No backend server in service can take this request."),
   QUEUE_FULL(503, NOT_RUN, 2, "Too many requests of this organisation wait in this class."),
+  ENTRY_FULL(
+      503, NOT_RUN, 1, "Other requests' bodies take this entry's memory; use another entry."),
   NO_CONFIG(503, NOT_RUN, 1, "This entry has no configuration yet; use another entry."),
   NOT_TAKEN(503, NOT_RUN, 1, "No backend server that was asked has taken the request."),
   PROMPT_QUARANTINED(
