RelayTest: its requests are not late however long the test takes to start

Traced: a request is refused when it has waited three quarters of its route's target; its arrival was stamped before the relay was built, and loading the classes took longer than that. The test told nothing of the relay then.

Change: requests of these tests arrive 5 s after they are made, so nothing is refused for the time that the test itself takes. The test of the refusal keeps its arrival. No bound of a response, a timeout or a repeat is touched.

--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -41,6 +41,7 @@
 final class RelayTest {
   private static final ServiceName SERVICE = new ServiceName("service");
   private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final Duration START_SLACK = Duration.ofSeconds(5);
 
   /** Gives scripted responses in turn and records the calls. */
   private static final class ScriptedBackend implements BackendPort {
@@ -165,7 +166,13 @@
     return relay.run(request, new byte[0]);
   }
 
+  /** Returns a request that no server is too late for, however long the test takes to start. */
   private static AdmittedRequest admitted(HostRoute route, Duration limit, PromptShape prompt) {
+    return admitted(route, limit, prompt, START_SLACK);
+  }
+
+  private static AdmittedRequest admitted(
+      HostRoute route, Duration limit, PromptShape prompt, Duration arrivesIn) {
     RequestHead head = Fixtures.head("/p/x", Optional.empty(), prompt);
     long now = System.nanoTime();
     return new AdmittedRequest(
@@ -175,7 +182,7 @@
         Optional.of(new OrganisationId("o")),
         1,
         false,
-        now,
+        now + arrivesIn.toNanos(),
         now + limit.toNanos());
   }
 
@@ -295,7 +302,8 @@
     HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
     ScriptedBackend backend = new ScriptedBackend();
     IntStream.range(0, 3).forEach(i -> backend.then(responds(503, true, "full")));
-    assertThat(refusal(run(backend, route, LIMIT))).isEqualTo(Reason.TOO_LATE);
+    AdmittedRequest request = admitted(route, LIMIT, PromptShape.none(), Duration.ZERO);
+    assertThat(refusal(run(backend, request, 50))).isEqualTo(Reason.TOO_LATE);
   }
 
   @Example
