Refuse data and links of earlier builds instead of reading them wrongly

The changes of the format (configurations are stored packed) left the name of the field and the version of the link as they were. GatewayStateTest.snapshotOfAnEarlierBuildIsAnError and .commandOfAnEarlierBuildIsAnError were red before, green now.

--- a/control/src/main/java/org/endivemux/control/state/Command.java
+++ b/control/src/main/java/org/endivemux/control/state/Command.java
@@ -1,5 +1,6 @@
 package org.endivemux.control.state;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -118,7 +119,14 @@
    * @param whole a {@link GatewayConfigUpdate} that holds the configuration as a whole
    * @param document bytes that the operator sent, returned when the configuration is read
    */
-  record PutGatewayConfig(long version, Packed whole, Packed document) implements Command {
+  record PutGatewayConfig(
+      long version, Packed whole, @JsonProperty("packedDocument") Packed document)
+      implements Command {
+    /** Throws {@link IllegalArgumentException} if a build with another format has written it. */
+    public PutGatewayConfig {
+      GatewayConfigHistory.checkFormat(whole, document);
+    }
+
     public static PutGatewayConfig of(GatewayConfig config, byte[] document) {
       return new PutGatewayConfig(
           config.version(), Packed.of(GatewayConfigUpdate.whole(config)), Packed.of(document));
--- a/control/src/main/java/org/endivemux/control/state/GatewayConfigHistory.java
+++ b/control/src/main/java/org/endivemux/control/state/GatewayConfigHistory.java
@@ -1,5 +1,6 @@
 package org.endivemux.control.state;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import io.vavr.Lazy;
 import java.util.HashMap;
 import java.util.Map;
@@ -111,12 +112,26 @@
     }
   }
 
+  /** Throws {@link IllegalArgumentException} if a part that this build writes is missing. */
+  static void checkFormat(Packed whole, Packed document) {
+    if (whole == null || document == null) {
+      throw new IllegalArgumentException(
+          "An earlier build, with another format, has written this configuration.");
+    }
+  }
+
   /**
    * The newest configuration. Immutable and thread-safe.
    *
    * @param whole a {@link GatewayConfigUpdate} that holds it as a whole
    */
-  record Saved(long revision, long version, Packed whole, Packed document) {
+  record Saved(
+      long revision, long version, Packed whole, @JsonProperty("packedDocument") Packed document) {
+    /** Throws {@link IllegalArgumentException} if a build with another format has written it. */
+    Saved {
+      checkFormat(whole, document);
+    }
+
     static Saved none() {
       Packed whole = Packed.of(GatewayConfigUpdate.whole(GatewayConfig.none()));
       return new Saved(0, 0, whole, Packed.of(new byte[0]));
--- a/control/src/main/java/org/endivemux/control/voter/Voter.java
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -14,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.endivemux.consensus.BootstrapConfig;
 import org.endivemux.consensus.ConsensusCore;
 import org.endivemux.consensus.ConsensusCore.Position;
@@ -33,7 +35,9 @@
 import org.endivemux.model.Bytes;
 import org.endivemux.model.VmId;
 import org.endivemux.storage.DataFolder;
+import org.endivemux.storage.StorageException;
 import org.endivemux.wire.MessagePackCodec;
+import org.endivemux.wire.WireException;
 
 /**
  * Runs one member of the replicated log and the state machine that the log drives.
@@ -99,8 +103,16 @@
     return core.persisted(position.term(), position.index());
   }
 
+  /** Throws {@link StorageException} if this build cannot read the snapshot. */
   private void restore(Snapshot snapshot) {
-    state.restore(snapshot.state());
+    try {
+      state.restore(snapshot.state());
+    } catch (WireException e) {
+      Throwable root =
+          Stream.<Throwable>iterate(e, Objects::nonNull, Throwable::getCause)
+              .reduce(e, (outer, cause) -> cause);
+      throw new StorageException("The snapshot cannot be read: " + root.getMessage(), e);
+    }
     appliedIndex = snapshot.index();
     compactedIndex = snapshot.index();
   }
--- a/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
+++ b/control/src/test/java/org/endivemux/control/state/GatewayStateTest.java
@@ -1,7 +1,9 @@
 package org.endivemux.control.state;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.LongStream;
@@ -11,6 +13,7 @@
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.ClientLimits;
 import org.endivemux.model.gateway.GatewayConfig;
+import org.endivemux.wire.MessagePackCodec;
 
 /**
  * Checks that the gateway version never decreases and that counts of final windows never change.
@@ -81,6 +84,29 @@
         .containsEntry(new OrganisationId("o"), 5L);
   }
 
+  /** Guards against a data folder of an earlier build that is read as one without configuration. */
+  @Example
+  @SuppressWarnings("unchecked")
+  void snapshotOfAnEarlierBuildIsAnError() {
+    put(3, "three");
+    Map<String, Object> saved =
+        new HashMap<>(MessagePackCodec.decode(state.save().toArray(), Map.class));
+    saved.put("gateway", Map.of("version", 3));
+    Bytes earlier = Bytes.of(MessagePackCodec.encode(saved));
+    assertThatThrownBy(() -> new ControlState().restore(earlier))
+        .hasStackTraceContaining("earlier build");
+  }
+
+  /** Guards against a log of an earlier build that is applied without its configurations. */
+  @Example
+  void commandOfAnEarlierBuildIsAnError() {
+    Map<String, Object> command =
+        Map.of("t", "gateway", "config", Map.of("version", 3), "document", "{}");
+    byte[] earlier = MessagePackCodec.encode(Map.of("atMillis", 1, "command", command));
+    assertThatThrownBy(() -> MessagePackCodec.decode(earlier, Command.Stamped.class))
+        .hasStackTraceContaining("earlier build");
+  }
+
   @Example
   void countsOfAFinalWindowNeverChange() {
     apply(new Command.FinaliseWindow(1, Map.of(new OrganisationId("o"), 5L)));
