Tell the operator which entries lack a change, not that no leader answered

The leader was asked to wait as long as the caller itself waited, so its statement (which entries lack the change) came after the caller had given up, and every failure was reported as "No control leader answered in time". One constant for the time of an attempt in place of two equal ones. OperatorEndpointTest.changeThatIsNotYetInForceNamesTheEntries: red before, green now.

--- a/control/src/main/java/org/endivemux/control/client/ControlClient.java
+++ b/control/src/main/java/org/endivemux/control/client/ControlClient.java
@@ -22,7 +22,10 @@
  */
 public final class ControlClient {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1200);
+
+  /** How long one voter is asked before the next one is. */
+  static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1200);
+
   private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
   private final Function<VmId, VoterClient> voterClients;
--- a/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
@@ -15,11 +15,15 @@
  * force at every entry that is in contact with the leader. Thread-safe.
  */
 public final class GatewayConfigWriter {
+  /** Part of the limit that is left for the leader's statement which entries lack a change. */
+  private static final Duration REPLY_TIME = Duration.ofMillis(300);
+
   private final ControlClient control;
   private final Duration limit;
 
   /**
-   * @param limit maximum time to commit a configuration, and then to see it in force
+   * @param limit maximum time to commit a configuration, and then to see it in force; longer than
+   *     {@link #REPLY_TIME}
    */
   public GatewayConfigWriter(ControlClient control, Duration limit) {
     this.control = control;
@@ -41,8 +45,9 @@
     if (!(result instanceof CommandResult.GatewayConfigStored stored)) {
       return Mono.error(new ControlException("The change was not committed."));
     }
+    long awaitMillis = limit.minus(REPLY_TIME).toMillis();
     return control
-        .ask(new ControlRequest.AwaitInForce(stored.revision(), limit.toMillis()), limit)
+        .ask(new ControlRequest.AwaitInForce(stored.revision(), awaitMillis), limit)
         .cast(ControlReply.InForce.class)
         .flatMap(GatewayConfigWriter::checkInForce);
   }
--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -30,7 +30,6 @@
 public final class ViewFollower implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration POLL_TIMEOUT = Duration.ofMillis(1500);
-  private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(1200);
 
   /**
    * How far the timeouts of a poll grow while none is answered, so that a reply that takes longer
@@ -131,7 +130,7 @@
                   .ask(
                       request(before, batch, sentAtNanos),
                       POLL_TIMEOUT.multipliedBy(factor),
-                      ATTEMPT_TIMEOUT.multipliedBy(factor))
+                      ControlClient.ATTEMPT_TIMEOUT.multipliedBy(factor))
                   .doOnNext(reply -> applyReply((ControlReply.PollReply) reply, sentAtNanos));
             })
         .doOnNext(reply -> usage.acknowledge(batch, ((ControlReply.PollReply) reply).term()));
