SIGHUP ends the product's own interface again, and a platform without it starts

It does so again. A Java platform without the signal had been logged and now stopped the start; it starts and logs event=hangup_unhandled again. HangupTest.hangupEndsTheProductsOwnInterface: red before (no exit within 60 s), green now. The second part has no test: no such platform is at hand.

--- a/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
@@ -22,6 +22,9 @@
   private static final int USAGE_ERROR = 2;
   private static final int DATA_ERROR = 70;
 
+  /** The status of a process that SIGHUP ends. */
+  private static final int HANGUP = 129;
+
   private DaemonProcess() {}
 
   /** Returns an exit status, or a negative number if the daemon keeps running. */
@@ -68,6 +71,7 @@
     try {
       Daemon daemon =
           new Daemon(settings, Clocks.system(), DaemonProcess::haltOnFatalError).start();
+      handleHangups(DaemonProcess::exitOnHangup);
       Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "drain"));
       return -1;
     } catch (ChannelBindException e) {
@@ -96,7 +100,7 @@
     try {
       GatewayDaemon daemon =
           new GatewayDaemon(settings, Clocks.system(), DaemonProcess::haltOnFatalError).start();
-      HangupSignal.onHangup(() -> reload(daemon, file));
+      handleHangups(() -> reload(daemon, file));
       Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "drain"));
       return -1;
     } catch (ChannelBindException e) {
@@ -108,6 +112,17 @@
     }
   }
 
+  private static void handleHangups(Runnable action) {
+    HangupSignal.failure()
+        .ifPresent(error -> logger.atWarning().log("event=hangup_unhandled cause=\"%s\"", error));
+    HangupSignal.onHangup(action);
+  }
+
+  /** Stops in order; on a thread of its own, since an exit waits until no signal is handled. */
+  private static void exitOnHangup() {
+    new Thread(() -> System.exit(HANGUP), "hangup").start();
+  }
+
   private static void reload(GatewayDaemon daemon, Path file) {
     try {
       daemon.reload(GatewaySettings.read(file));
--- a/integration/src/test/java/org/endivemux/integration/HangupTest.java
+++ b/integration/src/test/java/org/endivemux/integration/HangupTest.java
@@ -11,9 +11,10 @@
 import net.jqwik.api.Example;
 import org.endivemux.daemon.DaemonMain;
 
-/** Tests that a process that is told of new settings while it starts does not end. */
-final class HangupAtStartTest {
+/** Tests what SIGHUP does to a process, at its start and later. */
+final class HangupTest {
   private static final int EXIT_OF_INVALID_SETTINGS = 2;
+  private static final int EXIT_OF_HANGUP = 129;
   private static final int LIMIT_SECONDS = 60;
 
   /**
@@ -37,6 +38,18 @@
     }
   }
 
+  /**
+   * Guards against a process that ignores the hangup of its terminal: it has no settings to read.
+   */
+  @Example
+  void hangupEndsTheProductsOwnInterface() {
+    try (Cluster cluster = Cluster.started(1, 0)) {
+      Vm vm = cluster.vms.get(0);
+      vm.hangUp();
+      assertThat(vm.awaitExit()).isEqualTo(EXIT_OF_HANGUP);
+    }
+  }
+
   private static Process start(Path settings) throws IOException {
     return new ProcessBuilder(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
--- a/integration/src/test/java/org/endivemux/integration/Vm.java
+++ b/integration/src/test/java/org/endivemux/integration/Vm.java
@@ -121,6 +121,11 @@
     signal("-CONT");
   }
 
+  /** Sends SIGHUP. */
+  void hangUp() {
+    signal("-HUP");
+  }
+
   private void signal(String name) {
     try {
       new ProcessBuilder("kill", name, Long.toString(process.pid())).start().waitFor();
