--- a/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
@@ -36,7 +36,7 @@
   }
 
   private static ServerListing listing(List<GatewayServer> servers) {
-    return ServerListing.of(servers, Set.of());
+    return new ServerListing(servers, Set.of());
   }
 
   private List<BackendServerId> leaving() {
@@ -73,7 +73,7 @@
   @Example
   void serverWhoseEntryCannotBeReadStaysAsItWas() {
     directory.replace(TERM, listing(listed()));
-    ServerListing odd = ServerListing.of(listed().subList(0, 2), Set.of(listed().get(2).id()));
+    ServerListing odd = new ServerListing(listed().subList(0, 2), Set.of(listed().get(2).id()));
     assertThat(directory.replace(TERM, odd)).isFalse();
     assertThat(directory.servers()).isEqualTo(listed());
     directory.replace(TERM + 1, odd);
@@ -83,7 +83,7 @@
   @Example
   void ofTwoEntriesWithOneIdTheFirstCounts() {
     GatewayServer first = listed().get(0);
-    ServerListing twice = ServerListing.of(List.of(first, first.asLeaving()), Set.of(first.id()));
+    ServerListing twice = new ServerListing(List.of(first, first.asLeaving()), Set.of(first.id()));
     assertThat(twice.servers()).containsExactly(first);
     assertThat(twice.unreadable()).isEmpty();
   }
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -30,7 +30,7 @@
         syncState,
         () -> {
           reads.incrementAndGet();
-          return Mono.just(ServerListing.of(List.of(), Set.of()));
+          return Mono.just(new ServerListing(List.of(), Set.of()));
         },
         () -> entries,
         nanos::get);
--- a/model/src/main/java/org/endivemux/model/gateway/ServerListing.java
+++ b/model/src/main/java/org/endivemux/model/gateway/ServerListing.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
 
@@ -12,22 +13,19 @@
  *
  * <p>Invariant: each id occurs once. Immutable and thread-safe.
  *
- * @param servers servers whose entries could be read
+ * @param servers servers whose entries could be read, in their order; of several with one id the
+ *     first counts
  * @param unreadable ids of further servers whose entries have no meaning
  */
 public record ServerListing(List<GatewayServer> servers, Set<BackendServerId> unreadable) {
   public ServerListing {
-    servers = List.copyOf(servers);
-    unreadable = Set.copyOf(unreadable);
-  }
-
-  /** Returns the listing of entries in their order; of several with one id the first counts. */
-  public static ServerListing of(List<GatewayServer> servers, Set<BackendServerId> unreadable) {
     Map<BackendServerId, GatewayServer> byId = new LinkedHashMap<>();
     servers.forEach(server -> byId.putIfAbsent(server.id(), server));
-    return new ServerListing(
-        List.copyOf(byId.values()),
-        Set.copyOf(unreadable.stream().filter(id -> !byId.containsKey(id)).toList()));
+    servers = List.copyOf(byId.values());
+    unreadable =
+        unreadable.stream()
+            .filter(id -> !byId.containsKey(id))
+            .collect(Collectors.toUnmodifiableSet());
   }
 
   /** Returns the servers; one whose entry could not be read stays as it is known. */
