Bodies take their own size in memory while they arrive, not twice that

BoundedBytes kept parts in a buffer that doubles and was copied at the end, so bodies that share 32 MB could take up to three times that. Parts are kept as they arrive and joined once, as responses already were; both use ByteParts.

--- a/gateway/src/main/java/org/endivemux/gateway/BodyCollector.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BodyCollector.java
@@ -1,9 +1,7 @@
 package org.endivemux.gateway;
 
-import java.nio.ByteBuffer;
-import java.util.ArrayList;
-import java.util.List;
 import org.endivemux.gateway.ResponseMemory.ResponseTooLargeException;
+import org.endivemux.wire.ByteParts;
 
 /**
  * Collects the parts of one response's body.
@@ -14,8 +12,7 @@
 final class BodyCollector {
   private final ResponseMemory.Holding holding;
   private final int limit;
-  private final List<byte[]> parts = new ArrayList<>();
-  private int bytes;
+  private final ByteParts parts = new ByteParts();
 
   /**
    * @param limit maximum number of bytes of the body
@@ -27,19 +24,15 @@
 
   /** Adds a part; throws {@link ResponseTooLargeException} if there is no room for it. */
   void add(byte[] part) {
-    if (part.length > limit - bytes) {
+    if (part.length > limit - parts.size()) {
       throw new ResponseTooLargeException("The response is longer than " + limit + " bytes.");
     }
-    holding.resize((long) bytes + part.length);
-    bytes += part.length;
+    holding.resize((long) parts.size() + part.length);
     parts.add(part);
   }
 
   /** Returns the whole body. */
   byte[] join() {
-    ByteBuffer whole = ByteBuffer.allocate(bytes);
-    parts.forEach(whole::put);
-    parts.clear();
-    return whole.array();
+    return parts.join();
   }
 }
--- a/wire/src/main/java/org/endivemux/wire/BoundedBytes.java
+++ b/wire/src/main/java/org/endivemux/wire/BoundedBytes.java
@@ -1,6 +1,5 @@
 package org.endivemux.wire;
 
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongPredicate;
@@ -31,15 +30,15 @@
       Flux<byte[]> parts, int limit, Supplier<? extends RuntimeException> tooLong) {
     return parts
         .reduceWith(
-            ByteArrayOutputStream::new,
-            (out, part) -> {
-              if (out.size() + part.length > limit) {
+            ByteParts::new,
+            (body, part) -> {
+              if (part.length > limit - body.size()) {
                 throw tooLong.get();
               }
-              out.writeBytes(part);
-              return out;
+              body.add(part);
+              return body;
             })
-        .map(ByteArrayOutputStream::toByteArray);
+        .map(ByteParts::join);
   }
 
   /**
@@ -89,7 +88,7 @@
   /** Collects one body. Confined to the connection's event loop. */
   private static final class Collector {
     private final LongPredicate keeps;
-    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteParts body = new ByteParts();
     private final Sinks.Empty<Void> discarding = Sinks.empty();
     private boolean discards;
     private long bytes;
@@ -103,12 +102,12 @@
     boolean addAndTestExcess(byte[] part) {
       bytes += part.length;
       if (!discards && keeps.test(bytes)) {
-        out.writeBytes(part);
+        body.add(part);
         return false;
       }
       discards = true;
       discarded += part.length;
-      out.reset();
+      body.clear();
       var unused = discarding.tryEmitEmpty();
       return discarded > MAX_DISCARDED_BYTES;
     }
@@ -118,7 +117,7 @@
     }
 
     Mono<byte[]> result(Supplier<? extends RuntimeException> failure) {
-      return discards ? Mono.error(failure.get()) : Mono.just(out.toByteArray());
+      return discards ? Mono.error(failure.get()) : Mono.fromSupplier(body::join);
     }
   }
 }
