--- a/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
@@ -111,6 +111,10 @@
       case "NO_CONFIG" -> "The entry had not yet received any configuration.";
       case "UNKNOWN_ROUTE" -> "No route of the version in force matches the host and the path.";
       case "NO_KEY", "WRONG_KEY" -> "The key belongs to no organisation of the version in force.";
+      case "STALE_STATE" ->
+          "The entry had no proof of fresh state, so it could not tell whether the route or the key"
+              + " is unknown.";
+      case "ENTRY_FULL" -> "The bodies of other requests took the entry's memory.";
       case "DRAINING" -> "The entry was stopping.";
       default -> "The entry refused it before any attempt; see docs/reasons for the reason.";
     };
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -77,7 +77,7 @@
   private final ServerPool pool;
   private final DirectListing listing;
   private final LoopResources loop;
-  private final PlannedStop planned = new PlannedStop();
+  private final PlannedStop plannedStop = new PlannedStop();
 
   GatewayEntry(
       GatewaySettings settings,
@@ -127,10 +127,10 @@
                     settings.retrySlack()),
                 this::entryCount,
                 clocks::nanos),
-            planned,
+            plannedStop,
             clocks::nanos,
             timers);
-    this.callers = new CallerEndpoint(gateway, counters, planned);
+    this.callers = new CallerEndpoint(gateway, counters, plannedStop);
     this.directory =
         new DirectoryEndpoint(
             this::addresses, settings.entriesLifetime(), this::isReady, metricsText);
@@ -154,7 +154,7 @@
   }
 
   private boolean isReady() {
-    return gateway.isConfigured() && !planned.isLeaving();
+    return gateway.isConfigured() && !plannedStop.isLeaving();
   }
 
   private EntryInfo info(Incarnation incarnation) {
@@ -194,7 +194,7 @@
 
   /** Leaves and drains; completes when no request is in flight or the drain time has passed. */
   Mono<Void> stop() {
-    planned.leave();
+    plannedStop.leave();
     logger.atInfo().log("event=leaving inFlight=%d", callers.inFlight());
     Duration serving =
         Duration.ofMillis((long) (settings.entriesLifetime().toMillis() * SERVED_LIFETIMES));
@@ -202,7 +202,7 @@
     Disposable lastAnswers =
         Mono.delay(limit.minus(LAST_ANSWERS_MARGIN)).subscribe(tick -> endRequests());
     return Mono.delay(serving)
-        .doOnNext(tick -> planned.close())
+        .doOnNext(tick -> plannedStop.close())
         .then(Mono.defer(this::awaitIdle))
         .timeout(limit, Mono.empty())
         .doOnTerminate(lastAnswers::dispose)
@@ -211,7 +211,7 @@
 
   private void endRequests() {
     logger.atWarning().log("event=requests_ended inFlight=%d", callers.inFlight());
-    planned.end();
+    plannedStop.end();
   }
 
   private Mono<Void> awaitIdle() {
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -31,7 +31,7 @@
   private static final long MEMORY_BYTES = 24 << 20;
 
   /** An error response is kept, in case that no other attempt succeeds, unless it is longer. */
-  private static final int MAX_RETAINED_BYTES = 64 << 10;
+  static final int MAX_RETAINED_BYTES = 64 << 10;
 
   /**
    * How much of the body of a rejection is read, so that its connection can be reused. A body that
--- a/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
@@ -48,6 +50,7 @@
   private static final VmId LEADER = new VmId("127.0.0.1:1");
   private static final ServiceName SERVICE = new ServiceName("service");
   private static final String KEY = "key";
+  private static final Duration LIMIT = Duration.ofSeconds(20);
 
   private final AtomicLong nanos = new AtomicLong();
   private final AtomicBoolean leaderAnswers = new AtomicBoolean(true);
@@ -117,10 +120,11 @@
   }
 
   private void learnConfiguration() throws InterruptedException {
+    CountDownLatch learned = new CountDownLatch(1);
+    follower.onChange(learned::countDown);
     follower.start();
-    while (!gateway.isConfigured()) {
-      Thread.sleep(5);
-    }
+    assertThat(learned.await(LIMIT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+    assertThat(gateway.isConfigured()).isTrue();
     leaderAnswers.set(false);
   }
 
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -138,6 +138,11 @@
 
   private static Flux<ResponsePart> run(
       ScriptedBackend backend, AdmittedRequest request, double retrySlack) {
+    return run(backend, request, retrySlack, new PlannedStop());
+  }
+
+  private static Flux<ResponsePart> run(
+      ScriptedBackend backend, AdmittedRequest request, double retrySlack, PlannedStop stop) {
     GatewayConfig config =
         new GatewayConfig(
             1,
@@ -160,7 +165,7 @@
             () -> 1,
             new ServiceRetryAllowances(
                 new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
-            new PlannedStop(),
+            stop,
             System::nanoTime,
             Schedulers.parallel());
     return relay.run(request, new byte[0]);
@@ -380,6 +385,45 @@
         .isEqualTo(Reason.ANSWER_BROKEN);
   }
 
+  /** Guards against a response that is kept although it takes much of the shared memory. */
+  @Example
+  void errorResponseThatIsTooLongToKeepIsNotPassedOn() {
+    String tooLong = "x".repeat(ResponseReader.MAX_RETAINED_BYTES + 1);
+    ScriptedBackend backend = new ScriptedBackend().then(responds(500, false, tooLong));
+    assertThat(refusal(run(backend, route(RequestKind.NON_IDEMPOTENT, 1, false))))
+        .isEqualTo(Reason.BACKEND_FAILED);
+  }
+
+  private static Flux<ResponsePart> runWith(PlannedStop stop, ScriptedBackend backend) {
+    HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    return run(backend, admitted(route, LIMIT, PromptShape.none()), 50, stop);
+  }
+
+  /** Guards against a request that waited for a server and is sent while the process ends. */
+  @Example
+  void requestThatWasNotSentBeforeTheCloseIsRefused() {
+    PlannedStop stop = new PlannedStop();
+    stop.close();
+    ScriptedBackend backend = new ScriptedBackend();
+    assertThat(refusal(runWith(stop, backend))).isEqualTo(Reason.DRAINING);
+    assertThat(backend.calls).isEmpty();
+  }
+
+  /** Guards against giving up a request that a server turned down after the close. */
+  @Example
+  void requestThatWasSentBeforeTheCloseIsSentElsewhere() {
+    PlannedStop stop = new PlannedStop();
+    ScriptedBackend backend =
+        new ScriptedBackend()
+            .then(
+                call -> {
+                  stop.close();
+                  return responds(503, true, "full").apply(call);
+                })
+            .then(responds(200, false, "ok"));
+    assertThat(text(runWith(stop, backend))).isEqualTo("200:ok");
+  }
+
   /** Guards against an error response, or its head, in the middle of a resumed stream. */
   @Property(tries = 7)
   void errorResponseToAResumedStreamIsNotPassedOn(@ForAll ErrorStatus status) {
--- a/wire/src/test/java/org/endivemux/wire/BoundedBytesTest.java
+++ b/wire/src/test/java/org/endivemux/wire/BoundedBytesTest.java
@@ -45,9 +45,9 @@
     assertThatThrownBy(() -> read(9)).isInstanceOf(WireException.class);
   }
 
-  /** Guards against bodies that take twice their size in memory while they arrive. */
+  /** Guards against a copy of a body that arrived in one part. */
   @Example
-  void partsAreJoinedOnceTheBodyIsWhole() {
+  void bodyOfOnePartIsNotCopied() {
     ByteParts parts = new ByteParts();
     byte[] only = new byte[PART_BYTES];
     parts.add(only);
