--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -65,6 +65,10 @@
     IntStream.range(0, VOTERS).forEach(i -> voters.add(vm("voter" + (i + 1))));
     IntStream.range(0, entryCount).forEach(i -> entries.add(vm("entry" + (i + 1))));
     vms().forEach(vm -> peerProxies.add(peerProxy(vm)));
+    entries.forEach(
+        entry ->
+            entry.onStart(
+                () -> witness.notices().entryStarts(callersAddress(entry), System.nanoTime())));
     writeSettings(true);
   }
 
@@ -118,6 +122,13 @@
     listEngines();
   }
 
+  /** Replaces the backend servers that have said that they leave, which get no requests. */
+  void replaceLeavingEngines() {
+    IntStream.range(0, engines.size())
+        .filter(index -> engines.get(index).hasSaidThatItLeaves())
+        .forEach(this::replaceEngine);
+  }
+
   /** Lists the backend servers at their own addresses, without the fault proxies. */
   void bypassEngineProxies() {
     engineAddressOffset = REAL_ADDRESS_OFFSET;
--- a/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
@@ -157,6 +157,7 @@
         .forEach(proxy -> proxy.mode(FaultProxy.Mode.PASS));
     fleet.vms().forEach(SoakFault::startUnlessRunning);
     fleet.vms().forEach(Vm::thaw);
+    fleet.replaceLeavingEngines();
   }
 
   /** Waits until all requests are served again and the newest configuration is in force. */
--- a/integration/src/test/java/org/endivemux/integration/Vm.java
+++ b/integration/src/test/java/org/endivemux/integration/Vm.java
@@ -16,6 +16,7 @@
   final int peerPort;
   private final Path folder;
   private final String settingsOption;
+  private Runnable onStart = () -> {};
   private Process process;
   private boolean shouldBeRunning;
 
@@ -32,6 +33,11 @@
     this.settingsOption = settingsOption;
   }
 
+  /** Sets what is run before each start of the process. */
+  void onStart(Runnable action) {
+    onStart = action;
+  }
+
   Path settings() {
     return folder.resolve(name + ".yaml");
   }
@@ -66,6 +72,7 @@
 
   private void start(List<String> launcher, ProcessBuilder.Redirect output) {
     shouldBeRunning = true;
+    onStart.run();
     Stream<String> java =
         Stream.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(),
