Say why a change is not confirmed when a new leader knows no entries yet

Seen in the logs of large-configuration: beside a killed leader the operator was told "not yet in force at []". The leader waits for entries that it does not know; the response says that now.

--- a/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
@@ -53,10 +53,13 @@
   }
 
   private static Mono<Void> checkInForce(ControlReply.InForce reply) {
-    return reply.everywhere()
-        ? Mono.empty()
-        : Mono.error(
-            new ControlException(
-                "The change is committed, but not yet in force at " + reply.missing() + "."));
+    if (reply.everywhere()) {
+      return Mono.empty();
+    }
+    String reason =
+        reply.missing().isEmpty()
+            ? "a new leader does not know yet which entries are in contact"
+            : "it is not yet in force at " + reply.missing();
+    return Mono.error(new ControlException("The change is committed, but " + reason + "."));
   }
 }
