--- a/wire/src/test/java/org/endivemux/wire/BoundedBytesTest.java
+++ b/wire/src/test/java/org/endivemux/wire/BoundedBytesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import reactor.core.publisher.Flux;
 
@@ -45,6 +46,18 @@
     assertThatThrownBy(() -> read(9)).isInstanceOf(WireException.class);
   }
 
+  /** Guards against a body in tiny chunks that takes many times its size in memory. */
+  @Example
+  void tinyPartsAreHeldInFewArrays() {
+    ByteParts parts = new ByteParts();
+    IntStream.range(0, LIMIT).forEach(i -> parts.add(new byte[] {(byte) i}));
+    assertThat(parts.arrays()).isLessThanOrEqualTo(LIMIT / PART_BYTES);
+    parts.add(new byte[PART_BYTES]);
+    byte[] body = parts.join();
+    assertThat(body).hasSize(LIMIT + PART_BYTES);
+    assertThat(IntStream.range(0, LIMIT).allMatch(i -> body[i] == (byte) i)).isTrue();
+  }
+
   /** Guards against a copy of a body that arrived in one part. */
   @Example
   void bodyOfOnePartIsNotCopied() {
