Links: handle nothing of a peer whose version differs

A hello of another version closed the link, but was stored all the same, so a message that arrived in the same segment was handled although its format differs: the version alone did not keep builds apart, as the changelog says. The hello is dropped now. PeerServerTest.messageOfABuildWithAnotherVersionIsNotHandled: red before (one message handled), green now. VoterErrorTest.snapshotThatCannotBeReadIsAnUnusableFolder: the conversion to a storage error in Voter had no test; red with it turned off.

--- a/control/src/test/java/org/endivemux/control/voter/VoterErrorTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/VoterErrorTest.java
@@ -1,10 +1,14 @@
 package org.endivemux.control.voter;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -12,13 +16,19 @@
 import java.util.function.Consumer;
 import net.jqwik.api.Example;
 import org.endivemux.consensus.BootstrapConfig;
+import org.endivemux.consensus.Effects;
 import org.endivemux.consensus.Envelope;
+import org.endivemux.consensus.Membership;
+import org.endivemux.consensus.Snapshot;
 import org.endivemux.consensus.Timing;
+import org.endivemux.model.Bytes;
 import org.endivemux.model.VmId;
 import org.endivemux.storage.DataFolder;
+import org.endivemux.storage.StorageException;
 import org.endivemux.storage.WriteFailureHandler;
+import org.endivemux.wire.MessagePackCodec;
 
-/** Checks that a voter that has lost one of its threads does not run on. */
+/** Checks that a voter that has lost a thread, or cannot read its data, does not run on. */
 final class VoterErrorTest {
   private static final int LIMIT_SECONDS = 60;
   private static final VmId SELF = new VmId("127.0.0.1:1");
@@ -27,11 +37,19 @@
 
   private final BlockingQueue<String> threadsOfFatalErrors = new LinkedBlockingQueue<>();
 
+  private static DataFolder folder() throws IOException {
+    return DataFolder.open(Files.createTempDirectory("voter"), WriteFailureHandler.failFast());
+  }
+
   private Voter voter(Consumer<Envelope> sender) throws IOException {
+    return voter(folder(), sender);
+  }
+
+  private Voter voter(DataFolder folder, Consumer<Envelope> sender) {
     return new Voter(
             SELF,
             new BootstrapConfig(FOUNDERS, true, true),
-            DataFolder.open(Files.createTempDirectory("voter"), WriteFailureHandler.failFast()),
+            folder,
             Timing.standard(),
             Clocks.system(),
             sender,
@@ -62,6 +80,20 @@
     }
   }
 
+  /** Guards against a start on the data of another build that fails without naming the data. */
+  @Example
+  void snapshotThatCannotBeReadIsAnUnusableFolder() throws IOException {
+    Bytes earlier = Bytes.of(MessagePackCodec.encode(Map.of("gateway", Map.of("version", 3))));
+    Snapshot snapshot = new Snapshot(1, 1, new Membership(List.of()), earlier);
+    try (DataFolder folder = folder()) {
+      folder.write(
+          List.of(new Effects.Persist(Optional.empty(), Optional.of(snapshot), List.of())));
+      assertThatThrownBy(() -> voter(folder, envelope -> {}))
+          .isInstanceOf(StorageException.class)
+          .hasMessageContaining("earlier build");
+    }
+  }
+
   /** Guards against a process that runs on without the thread that syncs its log. */
   @Example
   void errorOnTheDiskThreadIsFatal() throws Exception {
--- a/wire/src/main/java/org/endivemux/wire/PeerServer.java
+++ b/wire/src/main/java/org/endivemux/wire/PeerServer.java
@@ -80,6 +80,7 @@
         logger.atWarning().log(
             "event=peer_version vm=%s version=%d", received.vm(), received.version());
         var unused = channel.close();
+        return;
       }
       hello.set(received);
       return;
--- a/wire/src/test/java/org/endivemux/wire/PeerServerTest.java
+++ b/wire/src/test/java/org/endivemux/wire/PeerServerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -10,9 +11,13 @@
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.endivemux.model.Incarnation;
+import org.endivemux.model.VmId;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -54,7 +59,7 @@
   void endlessBytesOfAnUnknownPeerCloseItsLink(@ForAll Sent sent) throws InterruptedException {
     CountDownLatch closed = new CountDownLatch(1);
     AtomicLong bytesTaken = new AtomicLong();
-    DisposableServer server = startServer();
+    DisposableServer server = startServer(new RefusingHandler());
     TcpClient.create()
         .remoteAddress(
             () -> new InetSocketAddress(InetAddress.getLoopbackAddress(), portOf(server)))
@@ -74,6 +79,34 @@
     server.disposeNow();
   }
 
+  /** Guards against messages of a build with other formats that follow its hello at once. */
+  @Example
+  void messageOfABuildWithAnotherVersionIsNotHandled() throws InterruptedException {
+    CountDownLatch closed = new CountDownLatch(1);
+    RefusingHandler handler = new RefusingHandler();
+    DisposableServer server = startServer(handler);
+    Hello hello = new Hello(Hello.VERSION - 1, new VmId("127.0.0.1:1"), new Incarnation("i"));
+    Frame first = new Frame(Frame.Type.HELLO, 0, MessagePackCodec.encode(hello));
+    Frame second = new Frame(Frame.Type.MESSAGE, 0, new byte[1]);
+    TcpClient.create()
+        .remoteAddress(
+            () -> new InetSocketAddress(InetAddress.getLoopbackAddress(), portOf(server)))
+        .doOnConnected(connection -> connection.onDispose(closed::countDown))
+        .handle(
+            (in, out) ->
+                out.send(
+                        Mono.just(
+                            Unpooled.wrappedBuffer(
+                                first.toBuffer(ByteBufAllocator.DEFAULT),
+                                second.toBuffer(ByteBufAllocator.DEFAULT))))
+                    .then(in.receive().then()))
+        .connect()
+        .subscribe();
+    assertThat(closed.await(MAX_WAIT.toSeconds(), TimeUnit.SECONDS)).isTrue();
+    assertThat(handler.handled).hasValue(0);
+    server.disposeNow();
+  }
+
   private static byte[] lengthOf(int bytes) {
     return ByteBuffer.allocate(Frame.LENGTH_BYTES).putInt(bytes).array();
   }
@@ -82,10 +115,10 @@
     return ((InetSocketAddress) server.address()).getPort();
   }
 
-  private static DisposableServer startServer() {
+  private static DisposableServer startServer(PeerHandler handler) {
     return new PeerServer(
             new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            new RefusingHandler(),
+            handler,
             PeerSecurity.none(),
             LinkTiming.standard(),
             LinkMetrics.of(new MetricRegistry()))
@@ -94,8 +127,11 @@
 
   /** Fails the test's peer if its frames are ever handled. */
   private static final class RefusingHandler implements PeerHandler {
+    private final AtomicInteger handled = new AtomicInteger();
+
     @Override
     public void onMessage(Hello from, byte[] payload) {
+      handled.incrementAndGet();
       throw new AssertionError("A message of an unknown peer was handled.");
     }
 
