Drop bytes that answer no request below the HTTP decoder

What callers saw: a success although their server had answered with another status, under the right id and signature; and 502 or 504 for sales that a sound server had answered in time.

Cause: the HTTP decoder of a connection to a backend server lives as long as the connection and keeps what it has half read. A server that answers twice may send only a part of the second answer. A part of a head stays in the decoder, is not seen by anything, and is joined with the next head: the status line is that of the copy, the id, the signature and the body are those of the next response, so that the check of the id passes. A whole copy was recognised, but failed the call that met it although its own response came next on the connection.

Ruled out: two attempts of one request on one connection (the scheduler excludes servers that were used).

Change: ExchangeCodec takes the place of the library's codec on connections to backend servers, for both interfaces. Bytes while no request is in progress close the connection; bytes after a response in the same read are dropped and the connection is not reused; after a request was sent on a reused connection, everything up to the head that names the request is skipped. ResponseIdentity, which compared ids of decoded heads, goes. event=stray_bytes and the counter backend.strayBytes tell what was dropped, and between which requests.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -97,7 +97,8 @@
             new FleetScheduler(settings.domain(), notices), notices, clocks::nanos, timers);
     metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.leaving().size());
     metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
-    HttpBackends backends = new HttpBackends(loop);
+    GatewayCounters counters = new GatewayCounters(metrics);
+    HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
     GatewaySyncState syncState =
         new GatewaySyncState(
@@ -110,7 +111,6 @@
     syncState.onFleetLoad(pool::updateFleetLoad);
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), syncState, clocks);
-    GatewayCounters counters = new GatewayCounters(metrics);
     this.gateway =
         new Gateway(
             follower,
--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -1,18 +1,20 @@
 package org.endivemux.entry;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.TimeUnit;
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
 import org.endivemux.wire.FirstByteTimeout;
 import org.endivemux.wire.InterimResponseLimit;
-import org.endivemux.wire.ResponseIdentity;
 import org.endivemux.wire.SendMarker;
+import org.endivemux.wire.http.ExchangeCodec;
+import org.endivemux.wire.http.StrayBytes;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -23,10 +25,12 @@
  * Sends requests to backend servers.
  *
  * <p>Invariants: the HTTP library's own retries and redirects are disabled; a non-repeatable call
- * uses a new connection; a connection whose response was not read completely is closed; a response
- * that belongs to another request is an error. Thread-safe.
+ * uses a new connection; a connection whose response was not read completely is closed; bytes that
+ * belong to no call in progress are dropped; a response to another request on a new connection is
+ * an error. Thread-safe.
  */
 final class BackendClient {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_CONNECTIONS = 20_000;
   private static final Duration MAX_IDLE = Duration.ofSeconds(5);
 
@@ -49,7 +53,7 @@
   }
 
   private HttpClient configure(HttpClient client) {
-    return client
+    return ExchangeCodec.install(client, Exchange.REQUEST_ID, this::dropped)
         .disableRetry(true)
         .followRedirect(false)
         .doOnConnected(InterimResponseLimit::install)
@@ -57,6 +61,12 @@
         .option(ChannelOption.TCP_NODELAY, true);
   }
 
+  private void dropped(StrayBytes bytes) {
+    counters.strayBytes(bytes.count());
+    logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+        "event=stray_bytes %s", bytes.logFields());
+  }
+
   /** Holds one call to a backend server. Immutable except for {@code sendMarker}. */
   @SuppressWarnings("ArrayRecordComponent") // Bodies are passed on, never compared.
   record Call(
@@ -80,24 +90,18 @@
   /** Sends a call and passes the response to a reader once its headers have arrived. */
   <T> Flux<T> send(Call call, java.util.function.Function<Response, Flux<T>> reader) {
     HttpClient client = call.repeatable() ? pooled : unpooled;
-    AtomicBoolean belongsToCall = new AtomicBoolean();
     return client
         .doOnRequest((request, connection) -> call.sendMarker().markSent())
         .doAfterRequest(
             (request, connection) -> FirstByteTimeout.start(connection, limits.firstByte()))
-        .doOnResponse(
-            (response, connection) -> {
-              FirstByteTimeout.end(connection);
-              belongsToCall.set(
-                  ResponseIdentity.belongsTo(call.id().value(), requestOf(response), connection));
-            })
+        .doOnResponse((response, connection) -> FirstByteTimeout.end(connection))
         .headers(headers -> headers.set(call.headers()).set(Exchange.REQUEST_ID, call.id().value()))
         .request(call.method())
         .uri("http://" + call.server().address() + call.path())
         .send(Mono.fromSupplier(() -> Unpooled.wrappedBuffer(call.body())))
         .response(
             (response, content) ->
-                belongsToCall.get()
+                isForCall(response, call)
                     ? reader.apply(
                         new Response(
                             response.status().code(),
@@ -107,8 +111,11 @@
                     : mismatch());
   }
 
-  private static Optional<String> requestOf(HttpClientResponse response) {
-    return Optional.ofNullable(response.responseHeaders().get(Exchange.REQUEST_ID));
+  /** A response without an id is accepted where no other request can have caused it. */
+  private static boolean isForCall(HttpClientResponse response, Call call) {
+    Optional<String> named =
+        Optional.ofNullable(response.responseHeaders().get(Exchange.REQUEST_ID));
+    return named.map(call.id().value()::equals).orElse(true);
   }
 
   private <T> Flux<T> mismatch() {
--- a/entry/src/main/java/org/endivemux/entry/Counters.java
+++ b/entry/src/main/java/org/endivemux/entry/Counters.java
@@ -22,6 +22,7 @@
   private final Map<Reason, Counter> refusals = new EnumMap<>(Reason.class);
   private final Map<RetryReason, Counter> retries = new EnumMap<>(RetryReason.class);
   private final Counter mismatchedResponses;
+  private final Counter strayBytes;
 
   public Counters(MetricRegistry registry) {
     this.registry = registry;
@@ -30,6 +31,7 @@
     Arrays.stream(RetryReason.values())
         .forEach(reason -> retries.put(reason, registry.counter("retries." + reason)));
     this.mismatchedResponses = registry.counter("backend.crossedAnswers");
+    this.strayBytes = registry.counter("backend.strayBytes");
   }
 
   void refused(Reason reason) {
@@ -44,6 +46,11 @@
     mismatchedResponses.inc();
   }
 
+  /** Counts bytes of backend servers that belonged to no request. */
+  void strayBytes(long count) {
+    strayBytes.inc(count);
+  }
+
   /** Counts tokens that backend servers generated and no caller received. */
   void wasted(int tokens) {
     registry.counter("tokens.wasted").inc(tokens);
--- a/gateway/src/main/java/org/endivemux/gateway/GatewayCounters.java
+++ b/gateway/src/main/java/org/endivemux/gateway/GatewayCounters.java
@@ -8,6 +8,8 @@
 
 /** Counts refusals and retries and measures response times of a gateway. Thread-safe. */
 public final class GatewayCounters {
+  private static final String STRAY_BYTES = "backend.strayBytes";
+
   private final MetricRegistry registry;
 
   public GatewayCounters(MetricRegistry registry) {
@@ -18,12 +20,18 @@
     for (RetryReason reason : RetryReason.values()) {
       registry.counter("retries." + reason);
     }
+    registry.counter(STRAY_BYTES);
   }
 
   public void refused(Reason reason) {
     registry.counter("refusals." + reason).inc();
   }
 
+  /** Counts bytes of backend servers that belonged to no request. */
+  public void strayBytes(long count) {
+    registry.counter(STRAY_BYTES).inc(count);
+  }
+
   void retried(RetryReason reason) {
     registry.counter("retries." + reason).inc();
   }
--- /dev/null
+++ b/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
@@ -0,0 +1,185 @@
+package org.endivemux.wire.http;
+
+import static io.netty.handler.codec.http.HttpResponseStatus.SWITCHING_PROTOCOLS;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.endivemux.wire.http.StrayBytes.Position;
+import reactor.netty.Connection;
+import reactor.netty.NettyPipeline;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Encodes requests and decodes responses on a connection that serves one request after the other.
+ *
+ * <p>A server may send bytes that answer no request: a second copy of a response, a part of one, or
+ * anything else. Invariants: such bytes are never taken for a response or for a part of one; a
+ * connection on which they arrived while no request was in progress is closed at once, and one on
+ * which they preceded a response is closed after that response; a response without an id is
+ * accepted for the first request of a connection only, which is then closed.
+ *
+ * <p>Confined to the connection's event loop.
+ */
+public final class ExchangeCodec
+    extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
+  /** As long as the longest response that is passed on, since a late copy may be as long. */
+  private static final long MAX_SKIPPED_BYTES = 8 << 20;
+
+  private final String idHeader;
+  private final ResponseHeads heads;
+  private final Consumer<StrayBytes> listener;
+  private Optional<HttpRequest> inProgress = Optional.empty();
+  private Optional<String> previous = Optional.empty();
+  private boolean isReused;
+  private boolean hasHead;
+  private long skipped;
+
+  ExchangeCodec(String idHeader, Consumer<StrayBytes> listener) {
+    this.idHeader = idHeader;
+    this.heads = new ResponseHeads(idHeader);
+    this.listener = listener;
+    init(new Decoder(), new Encoder());
+  }
+
+  /**
+   * Returns a client that uses this codec on all its connections.
+   *
+   * @param idHeader name of the header in which a request and its response have the request's id
+   * @param listener is told of bytes that belong to no request
+   */
+  public static HttpClient install(
+      HttpClient client, String idHeader, Consumer<StrayBytes> listener) {
+    return client.doOnChannelInit(
+        (observer, channel, address) ->
+            channel
+                .pipeline()
+                .replace(
+                    NettyPipeline.HttpCodec,
+                    NettyPipeline.HttpCodec,
+                    new ExchangeCodec(idHeader, listener)));
+  }
+
+  private void start(HttpRequest request) {
+    inProgress = Optional.of(request);
+    // No earlier request can have left anything on a new connection.
+    hasHead = !isReused;
+    skipped = 0;
+  }
+
+  /** Ends the exchange; {@code rest} holds what was read after the end of its response. */
+  private void end(ChannelHandlerContext context, ByteBuf rest) {
+    if (rest.isReadable()) {
+      closeAfterResponse(context);
+      drop(context, Position.AFTER_RESPONSE, rest);
+    }
+    previous = requestId();
+    inProgress = Optional.empty();
+    isReused = true;
+  }
+
+  private Optional<String> requestId() {
+    return inProgress.map(request -> request.headers().get(idHeader));
+  }
+
+  private void drop(ChannelHandlerContext context, Position position, ByteBuf bytes) {
+    report(context, position, bytes.readableBytes());
+    bytes.skipBytes(bytes.readableBytes());
+  }
+
+  private void report(ChannelHandlerContext context, Position position, long count) {
+    listener.accept(
+        new StrayBytes(context.channel().remoteAddress(), position, previous, requestId(), count));
+  }
+
+  private static void closeAfterResponse(ChannelHandlerContext context) {
+    Connection.from(context.channel()).markPersistent(false);
+  }
+
+  private final class Encoder extends HttpRequestEncoder {
+    @Override
+    protected void encode(ChannelHandlerContext context, Object message, List<Object> out)
+        throws Exception {
+      if (message instanceof HttpRequest request) {
+        start(request);
+      }
+      super.encode(context, message, out);
+    }
+  }
+
+  private final class Decoder extends HttpResponseDecoder {
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+        throws Exception {
+      if (inProgress.isEmpty()) {
+        drop(context, Position.IDLE, buffer);
+        var unused = context.close();
+        return;
+      }
+      if (!hasHead && !findHead(context, buffer)) {
+        return;
+      }
+      super.decode(context, buffer, out);
+      if (!out.isEmpty()) {
+        decoded(context, out.get(0), out.get(out.size() - 1), buffer);
+      }
+    }
+
+    private void decoded(ChannelHandlerContext context, Object first, Object last, ByteBuf rest) {
+      if (first instanceof HttpResponse response) {
+        boolean isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        boolean isUnnamed = !response.headers().contains(idHeader);
+        if (isInterim ? response.status().equals(SWITCHING_PROTOCOLS) : isUnnamed) {
+          closeAfterResponse(context);
+        }
+        if (isInterim) {
+          return;
+        }
+      }
+      if (last instanceof LastHttpContent) {
+        end(context, rest);
+      }
+    }
+
+    private boolean findHead(ChannelHandlerContext context, ByteBuf buffer) {
+      int before = buffer.readableBytes();
+      hasHead = heads.skipTo(buffer, requestId());
+      skipped += before - buffer.readableBytes();
+      if (hasHead && skipped > 0) {
+        closeAfterResponse(context);
+        report(context, Position.BEFORE_RESPONSE, skipped);
+      }
+      if (skipped > MAX_SKIPPED_BYTES) {
+        throw new TooLongFrameException(
+            "The server sent more than " + MAX_SKIPPED_BYTES + " bytes that are no response.");
+      }
+      return hasHead;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+      if (inProgress.isPresent() && !hasHead && skipped > 0) {
+        report(context, Position.BEFORE_RESPONSE, skipped);
+      }
+      super.channelInactive(context);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+      boolean isHead = inProgress.filter(it -> it.method().equals(HttpMethod.HEAD)).isPresent();
+      return isHead || super.isContentAlwaysEmpty(message);
+    }
+  }
+}
