--- a/wire/src/test/java/org/endivemux/wire/http/ExchangeCodecTest.java
+++ b/wire/src/test/java/org/endivemux/wire/http/ExchangeCodecTest.java
@@ -152,6 +152,45 @@
     assertThat(catchThrowable(() -> server.receive(filler))).hasMessageContaining("no response");
   }
 
+  /** Guards against a head that joins two heads of which one has lost its status line. */
+  @Example
+  void headThatNamesTwoRequestsIsSkipped() {
+    Server server = new Server();
+    server.exchange("a", 200);
+    server.send("b");
+    server.receive("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nAttempt-Id: b\r\n\r\n");
+    assertThat(server.channel.inboundMessages()).isEmpty();
+    server.receive(response("b", 500));
+    server.assertResponse("b", 500);
+  }
+
+  /** Guards against a server that fills the memory with a head that has no end. */
+  @Example
+  void headWithoutEndIsAnError() {
+    Server server = new Server();
+    server.exchange("a", 200);
+    server.send("b");
+    server.receive("HTTP/1.1 200 OK\r\nX-Filler: ");
+    String filler = "x".repeat(1 << 20);
+    for (int i = 0; i < 8; i++) {
+      server.receive(filler);
+    }
+    assertThat(catchThrowable(() -> server.receive(filler))).hasMessageContaining("no response");
+  }
+
+  /** Guards against stray bytes of which no line tells, since the connection ended first. */
+  @Example
+  void strayBytesBeforeTheEndOfAConnectionAreReported() {
+    Server server = new Server();
+    server.exchange("a", 200);
+    server.send("b");
+    server.receive(response("a", 200));
+    assertThat(server.channel.close().isDone()).isTrue();
+    assertThat(server.strays)
+        .extracting(StrayBytes::position)
+        .containsExactly(Position.BEFORE_RESPONSE);
+  }
+
   private static DefaultFullHttpRequest request(String id, HttpMethod method) {
     DefaultFullHttpRequest request =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/", Unpooled.EMPTY_BUFFER);
