Interim responses and endless stray bytes: neither ends as a response

What callers saw: the product's own interface passed 101 and 103 on as the response of a server whose own response came next; behind the gateway, a sale whose server sent 103 before its 200 got 502. And a call that failed because a server sent stray bytes without end left a connection that was read on (254 MB in 2.5 s).

Cause: the HTTP client takes each response from 101 to 199 for the final one; and an error in its decoder does not close a connection on which no response has begun.

Change: the codec drops interim responses on new connections too and counts their bytes; at the limit the connection is closed and the call fails. 101 is an error.

Evidence, red before: entry InterimResponseTest (a caller got 103 and 101), platform InterimResponseTest (a sound server's 103 failed its call), EndlessStrayBytesTest (connection not closed). Green: these, EndlessResponseTest and ExchangeCodecTest.

--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -5,13 +5,13 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpStatusClass;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
 import org.endivemux.wire.FirstByteTimeout;
-import org.endivemux.wire.InterimResponseLimit;
 import org.endivemux.wire.SendMarker;
 import org.endivemux.wire.http.ExchangeCodec;
 import org.endivemux.wire.http.StrayBytes;
@@ -56,7 +56,6 @@
     return ExchangeCodec.install(client, Exchange.REQUEST_ID, this::dropped)
         .disableRetry(true)
         .followRedirect(false)
-        .doOnConnected(InterimResponseLimit::install)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) limits.connect().toMillis())
         .option(ChannelOption.TCP_NODELAY, true);
   }
@@ -113,6 +112,9 @@
 
   /** A response without an id is accepted where no other request can have caused it. */
   private static boolean isForCall(HttpClientResponse response, Call call) {
+    if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      return false;
+    }
     Optional<String> named =
         Optional.ofNullable(response.responseHeaders().get(Exchange.REQUEST_ID));
     return named.map(call.id().value()::equals).orElse(true);
--- a/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -28,8 +29,9 @@
  * <p>A server may send bytes that answer no request: a second copy of a response, a part of one, or
  * anything else. Invariants: such bytes are never taken for a response or for a part of one; a
  * connection on which they arrived while no request was in progress is closed at once, and one on
- * which they preceded a response is closed after that response; a response without an id is
- * accepted for the first request of a connection only, which is then closed.
+ * which they came before a response, or in the same read after it, is closed after that response; a
+ * response without an id is accepted for the first request of a connection only, which is then
+ * closed; an interim response is never passed on.
  *
  * <p>Confined to the connection's event loop.
  */
@@ -46,6 +48,7 @@
   private boolean isReused;
   private boolean hasHead;
   private long skipped;
+  private boolean hasFailed;
 
   ExchangeCodec(String idHeader, Consumer<StrayBytes> listener) {
     this.idHeader = idHeader;
@@ -128,25 +131,40 @@
         var unused = context.close();
         return;
       }
+      if (hasFailed) {
+        buffer.skipBytes(buffer.readableBytes());
+        return;
+      }
       if (!hasHead && !findHead(context, buffer)) {
         return;
       }
-      super.decode(context, buffer, out);
-      if (!out.isEmpty()) {
-        decoded(context, out.get(0), out.get(out.size() - 1), buffer);
+      int before = buffer.readableBytes();
+      List<Object> messages = new ArrayList<>();
+      super.decode(context, buffer, messages);
+      if (messages.isEmpty()) {
+        return;
+      }
+      if (isInterim(messages.get(0))) {
+        skip(context, before - buffer.readableBytes());
+        return;
       }
+      decoded(context, messages.get(0), messages.get(messages.size() - 1), buffer);
+      out.addAll(messages);
+    }
+
+    /** The library would take an interim response for the final one. */
+    private boolean isInterim(Object message) {
+      return message instanceof HttpResponse response
+          && response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+          && !response.status().equals(SWITCHING_PROTOCOLS);
     }
 
     private void decoded(ChannelHandlerContext context, Object first, Object last, ByteBuf rest) {
       if (first instanceof HttpResponse response) {
-        boolean isInterim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        boolean isUnnamed = !response.headers().contains(idHeader);
-        if (isInterim ? response.status().equals(SWITCHING_PROTOCOLS) : isUnnamed) {
+        boolean isSwitch = response.status().equals(SWITCHING_PROTOCOLS);
+        if (isSwitch || !response.headers().contains(idHeader)) {
           closeAfterResponse(context);
         }
-        if (isInterim) {
-          return;
-        }
       }
       if (last instanceof LastHttpContent) {
         end(context, rest);
@@ -156,16 +174,23 @@
     private boolean findHead(ChannelHandlerContext context, ByteBuf buffer) {
       int before = buffer.readableBytes();
       hasHead = heads.skipTo(buffer, requestId());
-      skipped += before - buffer.readableBytes();
+      skip(context, before - buffer.readableBytes());
       if (hasHead && skipped > 0) {
         closeAfterResponse(context);
         report(context, Position.BEFORE_RESPONSE, skipped);
       }
+      return hasHead && !hasFailed;
+    }
+
+    private void skip(ChannelHandlerContext context, long count) {
+      skipped += count;
       if (skipped > MAX_SKIPPED_BYTES) {
-        throw new TooLongFrameException(
-            "The server sent more than " + MAX_SKIPPED_BYTES + " bytes that are no response.");
+        hasFailed = true;
+        context.fireExceptionCaught(
+            new TooLongFrameException(
+                "The server sent more than " + MAX_SKIPPED_BYTES + " bytes that are no response."));
+        var unused = context.close();
       }
-      return hasHead;
     }
 
     @Override
