Soak: servers that answer twice

Since other faults lose answers as well, a lost sale says nothing there; after the faults of each seed all servers answer twice until 60 more sales have ended, and each of those must get exactly its answer.

A failing server answers 500 with the same body as any other answer; the checks then need statuses only.

--- a/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -12,6 +13,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.endivemux.platform.standin.CallerStandIn;
+import org.endivemux.platform.standin.EngineStandIn;
 import org.endivemux.platform.standin.RouteKind;
 import org.endivemux.testing.FaultProxy;
 
@@ -30,6 +32,10 @@
   private static final int ENTRIES = 2;
   private static final int ENGINES = 4;
   private static final int CALLERS = 6;
+
+  /** Number of sales after the faults, while servers answer twice. */
+  private static final int LAST_SALES = 60;
+
   private static final int MIN_STEP_MILLIS = 200;
   private static final int STEP_SPREAD_MILLIS = 900;
 
@@ -60,6 +66,7 @@
       IntStream.range(0, steps).forEach(step -> runStep());
       heal();
       awaitRecovery();
+      answerTwice();
       stopped = true;
       join(clients);
     } catch (AssertionError e) {
@@ -180,6 +187,25 @@
     Await.until("a usage report", () -> fleet.platform.reportedRequests() > 0);
   }
 
+  /**
+   * Lets servers answer twice while nothing else fails, so that the answer to each sale must reach
+   * its caller.
+   */
+  private void answerTwice() {
+    fleet.witness.requireEveryAnswer();
+    fleet.engines.forEach(engine -> engine.mode(EngineStandIn.Mode.ANSWERS_TWICE));
+    long before = sales();
+    Await.until("sales at servers that answer twice", () -> sales() >= before + LAST_SALES);
+    fleet.engines.forEach(engine -> engine.mode(EngineStandIn.Mode.HEALTHY));
+  }
+
+  private long sales() {
+    return fleet.witness.responseCounts().entrySet().stream()
+        .filter(count -> count.getKey().startsWith(RouteKind.SALE.name()))
+        .mapToLong(Map.Entry::getValue)
+        .sum();
+  }
+
   private void awaitServed(CallerStandIn caller, Vm entry) {
     String address = fleet.callersAddress(entry);
     KINDS.forEach(
