Storage: a disk that refuses to create, rename or delete a file ends no voter

Cause: only the bytes written were retried. The deletion of an old temporary file, the creation of the new one and its rename passed a refusal on as a StorageException, which ends the process.

Change: these operations are tried again like writes. Each either took place or did not, and all may be repeated; a failed sync is still never retried. FileOperations is the seam for the refusals. A folder that cannot be opened releases its lock, so that the test can open it again in the same process.

--- a/control/src/main/java/org/endivemux/control/voter/DiskWriter.java
+++ b/control/src/main/java/org/endivemux/control/voter/DiskWriter.java
@@ -52,10 +52,7 @@
   public void run() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        List<Effects> group = new ArrayList<>();
-        group.add(queue.take());
-        queue.drainTo(group);
-        sync(group);
+        writeNextGroup();
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -64,6 +61,18 @@
     }
   }
 
+  /** Waits for effects, then writes and syncs all that are queued. */
+  void writeNextGroup() throws InterruptedException {
+    List<Effects> group = new ArrayList<>();
+    group.add(queue.take());
+    queue.drainTo(group);
+    sync(group);
+  }
+
+  boolean isIdle() {
+    return queue.isEmpty();
+  }
+
   private void sync(List<Effects> group) {
     List<Persist> steps = group.stream().flatMap(effects -> effects.persist().stream()).toList();
     if (!steps.isEmpty()) {
--- a/storage/src/main/java/org/endivemux/storage/DataFolder.java
+++ b/storage/src/main/java/org/endivemux/storage/DataFolder.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -58,10 +57,16 @@
    * @param failureHandler decides whether a failed write is retried
    */
   public static DataFolder open(Path folder, WriteFailureHandler failureHandler) {
-    return open(folder, new RetryingWriter(FileChannel::write, failureHandler));
+    return open(folder, FileOperations.system(), failureHandler);
   }
 
-  static DataFolder open(Path folder, RetryingWriter writer) {
+  /**
+   * Opens or creates the folder with these file operations.
+   *
+   * @param failureHandler decides whether a failed write is retried
+   */
+  public static DataFolder open(
+      Path folder, FileOperations files, WriteFailureHandler failureHandler) {
     try {
       Files.createDirectories(folder);
       FileChannel lockFile =
@@ -72,12 +77,23 @@
         throw new StorageException(
             "The data folder " + folder + " is in use; stop the other process first.");
       }
-      return new DataFolder(folder, lockFile, writer);
+      return open(folder, lockFile, new RetryingWriter(files, failureHandler));
     } catch (IOException e) {
       throw new StorageException("The data folder " + folder + " cannot be opened.", e);
     }
   }
 
+  /** Opens a locked folder; releases the lock if that fails. */
+  private static DataFolder open(Path folder, FileChannel lockFile, RetryingWriter writer)
+      throws IOException {
+    try {
+      return new DataFolder(folder, lockFile, writer);
+    } catch (StorageException e) {
+      lockFile.close();
+      throw e;
+    }
+  }
+
   private DiskId readOrCreateDiskId() {
     Path file = folder.resolve(DISK_ID);
     try {
@@ -192,8 +208,7 @@
   private void replaceByRecord(Path target, byte[] record) {
     Path temporary = target.resolveSibling(target.getFileName() + ".new");
     try {
-      Files.deleteIfExists(temporary);
-      try (RecordFile file = RecordFile.open(temporary, writer)) {
+      try (RecordFile file = RecordFile.create(temporary, writer)) {
         file.append(record);
       }
       moveAndSync(temporary, target);
@@ -207,15 +222,15 @@
     writer.runWithRetries(
         temporary, () -> Files.write(temporary, content), () -> Files.deleteIfExists(temporary));
     try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.WRITE)) {
-      channel.force(true);
+      writer.files().sync(channel, true);
     }
     moveAndSync(temporary, target);
   }
 
   private void moveAndSync(Path temporary, Path target) throws IOException {
-    Files.move(temporary, target, StandardCopyOption.ATOMIC_MOVE);
+    writer.runWithRetries(target, () -> writer.files().move(temporary, target), () -> {});
     try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      channel.force(true);
+      writer.files().sync(channel, true);
     }
   }
 
--- a/storage/src/main/java/org/endivemux/storage/RecordFile.java
+++ b/storage/src/main/java/org/endivemux/storage/RecordFile.java
@@ -5,7 +5,6 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -36,15 +35,20 @@
 
   static RecordFile open(Path path, RetryingWriter writer) {
     try {
-      FileChannel channel =
-          FileChannel.open(
-              path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
-      return new RecordFile(path, channel, writer);
+      return new RecordFile(path, writer.files().open(path), writer);
     } catch (IOException e) {
       throw new StorageException("The file " + path + " cannot be opened.", e);
     }
   }
 
+  /** Creates an empty file; a refusal is retried or fails as the handler decides. */
+  static RecordFile create(Path path, RetryingWriter writer) {
+    FileOperations files = writer.files();
+    writer.runWithRetries(path, () -> files.deleteIfExists(path), () -> {});
+    FileChannel channel = writer.callWithRetries(path, () -> files.open(path), () -> {});
+    return new RecordFile(path, channel, writer);
+  }
+
   /** Reads all complete records, truncates a torn last one and positions the channel at the end. */
   List<byte[]> readAll() {
     try {
@@ -61,7 +65,7 @@
       }
       if (position < size) {
         channel.truncate(position);
-        channel.force(true);
+        writer.files().sync(channel, true);
       }
       channel.position(position);
       return records;
@@ -139,7 +143,7 @@
     buffer.flip();
     try {
       writer.write(path, channel, channel.position(), buffer);
-      channel.force(false);
+      writer.files().sync(channel, false);
     } catch (IOException e) {
       throw new StorageException("The file " + path + " cannot be synced.", e);
     }
--- a/storage/src/main/java/org/endivemux/storage/RetryingWriter.java
+++ b/storage/src/main/java/org/endivemux/storage/RetryingWriter.java
@@ -4,33 +4,36 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Path;
+import java.util.Optional;
 
 /**
- * Writes to files and retries failed writes until they succeed or the handler throws.
+ * Writes, creates, renames and deletes files, and retries what fails until it succeeds or the
+ * handler throws.
  *
  * <p>Invariant: a failed write is undone before it is retried, so a file never contains a partial
- * write followed by other data. Immutable; as thread-safe as its components.
+ * write followed by other data. A sync is never retried. Immutable; as thread-safe as its
+ * components.
  */
-record RetryingWriter(ChannelWrite channelWrite, WriteFailureHandler failureHandler) {
-  /** Writes bytes at a channel's position; may write only some of them. */
-  @FunctionalInterface
-  interface ChannelWrite {
-    void write(FileChannel channel, ByteBuffer bytes) throws IOException;
-  }
-
+record RetryingWriter(FileOperations files, WriteFailureHandler failureHandler) {
   /** Runs a file operation. */
   @FunctionalInterface
   interface IoAction {
     void run() throws IOException;
   }
 
+  /** Runs a file operation that has a result. */
+  @FunctionalInterface
+  interface IoCall<T> {
+    T call() throws IOException;
+  }
+
   /** Writes all bytes at a position and leaves the channel positioned after them. */
   void write(Path file, FileChannel channel, long position, ByteBuffer bytes) {
     runWithRetries(
         file,
         () -> {
           while (bytes.hasRemaining()) {
-            channelWrite.write(channel, bytes);
+            files.write(channel, bytes);
           }
         },
         () -> {
@@ -42,23 +45,37 @@
 
   /** Runs an action until it succeeds; an undo that fails is not retried. */
   void runWithRetries(Path file, IoAction action, IoAction undo) {
+    var unused =
+        callWithRetries(
+            file,
+            () -> {
+              action.run();
+              return true;
+            },
+            undo);
+  }
+
+  /** Calls until it succeeds, and returns the result; an undo that fails is not retried. */
+  <T> T callWithRetries(Path file, IoCall<T> call, IoAction undo) {
     int failedAttempts = 0;
-    while (!attempt(file, action, undo, failedAttempts + 1)) {
+    Optional<T> result = attempt(file, call, undo, 1);
+    while (result.isEmpty()) {
       failedAttempts++;
+      result = attempt(file, call, undo, failedAttempts + 1);
     }
     if (failedAttempts > 0) {
       failureHandler.onWriteRecovered(file, failedAttempts);
     }
+    return result.get();
   }
 
-  private boolean attempt(Path file, IoAction action, IoAction undo, int attempt) {
+  private <T> Optional<T> attempt(Path file, IoCall<T> call, IoAction undo, int attempt) {
     try {
-      action.run();
-      return true;
+      return Optional.of(call.call());
     } catch (IOException e) {
       undo(file, undo);
       failureHandler.onWriteFailed(file, attempt, e);
-      return false;
+      return Optional.empty();
     }
   }
 
--- a/storage/src/main/java/org/endivemux/storage/WriteFailureHandler.java
+++ b/storage/src/main/java/org/endivemux/storage/WriteFailureHandler.java
@@ -5,6 +5,7 @@
 
 /**
  * Handles a write that the disk rejects, for example because it is full, before it is retried.
+ * Creating, renaming and deleting a file count as writes.
  *
  * <p>Only writes are retried, never a sync: after a failed sync it is unknown what is on the disk.
  * Implementations are called by the writing thread.
--- a/storage/src/test/java/org/endivemux/storage/DataFolderTest.java
+++ b/storage/src/test/java/org/endivemux/storage/DataFolderTest.java
@@ -9,8 +9,10 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -94,7 +96,7 @@
   void fullDiskIsRetriedAndLosesNothing() {
     FullDisk disk = new FullDisk();
     Snapshot snapshot = new Snapshot(2, 2, new Membership(List.of()), Bytes.ofUtf8("state"));
-    try (DataFolder data = DataFolder.open(folder, new RetryingWriter(disk::write, disk))) {
+    try (DataFolder data = DataFolder.open(folder, disk, disk)) {
       data.write(List.of(entries(1, 2)));
       disk.freeBytes = 7;
       data.write(List.of(entries(3, 4)));
@@ -107,13 +109,56 @@
     assertThat(reopen().entries()).extracting(LogEntry::index).containsExactly(3L, 4L);
   }
 
+  /** Guards against a voter that ends since a full disk refuses the files of a new snapshot. */
+  @Example
+  void refusedCreationRenameAndDeletionAreRetriedAndLoseNothing() {
+    FullDisk disk = new FullDisk();
+    Snapshot snapshot = new Snapshot(2, 2, new Membership(List.of()), Bytes.ofUtf8("state"));
+    try (DataFolder data = DataFolder.open(folder, disk, disk)) {
+      data.write(List.of(entries(1, 4)));
+      disk.refusesNames = true;
+      data.write(List.of(new Persist(Optional.empty(), Optional.of(snapshot), List.of())));
+      data.write(List.of(entries(5, 5)));
+    }
+    assertThat(disk.refusedNames).containsExactly("delete", "open", "move");
+    assertThat(reopen().snapshot()).isEqualTo(snapshot);
+    assertThat(reopen().entries()).extracting(LogEntry::index).containsExactly(3L, 4L, 5L);
+  }
+
   /** Accepts a number of bytes, then rejects writes until the failure handler is called. */
-  private static final class FullDisk implements WriteFailureHandler {
+  private static final class FullDisk implements FileOperations, WriteFailureHandler {
     private int freeBytes = Integer.MAX_VALUE;
     private int failedWrites;
     private int recoveredWrites;
+    private boolean refusesNames;
+    private final Set<String> refusedNames = new LinkedHashSet<>();
+
+    private void refuseOnce(String operation) throws IOException {
+      if (refusesNames && refusedNames.add(operation)) {
+        throw new IOException("No space left on device");
+      }
+    }
+
+    @Override
+    public FileChannel open(Path file) throws IOException {
+      refuseOnce("open");
+      return FileOperations.super.open(file);
+    }
 
-    void write(FileChannel channel, ByteBuffer bytes) throws IOException {
+    @Override
+    public void move(Path from, Path to) throws IOException {
+      refuseOnce("move");
+      FileOperations.super.move(from, to);
+    }
+
+    @Override
+    public void deleteIfExists(Path file) throws IOException {
+      refuseOnce("delete");
+      FileOperations.super.deleteIfExists(file);
+    }
+
+    @Override
+    public void write(FileChannel channel, ByteBuffer bytes) throws IOException {
       if (freeBytes == 0) {
         throw new IOException("No space left on device");
       }
