Consensus: a voter that waits for its disk answers no pre-vote

What was seen: with the leader's VM lost while the disk of one of the two others refuses writes, the term grew by 29 within 30 s. No change can be acknowledged then, but each new term deposes whoever leads next and is written to every disk.

Cause: the voter with the full disk granted pre-votes at once and kept back only its votes, so the candidate entered a new term at each election timeout without any chance to win it.

Evidence: FullDisksInTurnTest.termStaysWhileTheOnlyOtherVoterCannotWrite: 29 terms, at most 2 expected.

Change: answers to pre-votes wait behind what is still to be synced, like votes. A disk without a backlog sends them at once. A late answer counts only for the term that it names.

--- a/consensus/src/main/java/org/endivemux/consensus/Elections.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Elections.java
@@ -11,7 +11,9 @@
  * Runs pre-votes and votes.
  *
  * <p>Invariants: at most one vote per term, synced before it is sent; no vote is granted while a
- * leader may hold a lease; votes belong to disk ids, not to VMs. Confined to the core's thread.
+ * leader may hold a lease; votes belong to disk ids, not to VMs; a member that waits for its disk
+ * answers no pre-vote either, so that no candidate enters a term for which it cannot get the vote.
+ * Confined to the core's thread.
  */
 final class Elections {
   private final CoreState state;
@@ -75,7 +77,7 @@
     if (request.pre()) {
       boolean grant = request.term() > state.term && isUpToDate(request);
       long term = grant ? request.term() : state.term;
-      state.reply(envelope, new VoteReply(term, true, grant));
+      state.effects.sendAfterPersist(state.replyTo(envelope, new VoteReply(term, true, grant)));
       return;
     }
     state.adoptTerm(request.term());
--- a/control/src/test/java/org/endivemux/control/voter/FullDisksInTurnTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/FullDisksInTurnTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -53,6 +54,25 @@
     play(3 + 2 * large, seed, List.of(EnumSet.of(Operation.SYNC), all), RECOVERY_AFTER_EXIT);
   }
 
+  /** Guards against terms that run away while a candidate lacks only a vote that a disk refuses. */
+  @Example
+  void termStaysWhileTheOnlyOtherVoterCannotWrite() {
+    try (FullDiskSimulation voters = new FullDiskSimulation(3, 0, 1)) {
+      voters.runFor(10 * SECOND);
+      int leader = voters.leader().orElseThrow().number();
+      long term = voters.highestTerm();
+      voters.refuse((leader + 1) % 3, EnumSet.of(Operation.WRITE));
+      voters.crash(leader);
+      voters.runFor(30 * SECOND);
+      assertThat(voters.leader()).isEmpty();
+      assertThat(voters.highestTerm() - term).isLessThanOrEqualTo(2);
+      voters.makeRoom((leader + 1) % 3);
+      String change = voters.propose();
+      voters.runFor(ACK_LIMIT);
+      assertThat(voters.acknowledgedAfter()).containsKey(change);
+    }
+  }
+
   private static void play(int size, long seed, List<Set<Operation>> refusals, long pause) {
     Random random = new Random(seed);
     try (FullDiskSimulation voters = new FullDiskSimulation(size, 0.02 * random.nextInt(2), seed)) {
