--- a/integration/src/test/java/org/endivemux/integration/Vm.java
+++ b/integration/src/test/java/org/endivemux/integration/Vm.java
@@ -70,6 +70,37 @@
         ProcessBuilder.Redirect.DISCARD);
   }
 
+  /**
+   * Simulates a disk that fills up while the process runs: files cannot grow beyond this size until
+   * {@link #liftFileLimit}.
+   */
+  void limitFilesTo(long bytes) {
+    setFileLimit(bytes + ":");
+  }
+
+  void liftFileLimit() {
+    setFileLimit("unlimited:");
+  }
+
+  /** Changes the soft limit of the running process. */
+  private void setFileLimit(String limit) {
+    run("prlimit", "--pid", Long.toString(process.pid()), "--fsize=" + limit);
+  }
+
+  private static void run(String... command) {
+    try {
+      int exit = new ProcessBuilder(command).inheritIO().start().waitFor();
+      if (exit != 0) {
+        throw new AssertionError(String.join(" ", command) + " ended with " + exit);
+      }
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new AssertionError(e);
+    }
+  }
+
   private void start(List<String> launcher, ProcessBuilder.Redirect output) {
     shouldBeRunning = true;
     onStart.run();
