Platform: a connection for each call, so that no page of an earlier list is read

What users would see: with a platform that sends a response again where the next one is expected, the list of backend servers is the one before: servers that are gone come back and current ones are missing.

Cause: the list was read over two pooled connections, and the platform's responses name no call.

Change: PlatformHttp makes clients with a connection for each call only. Cost: the leader opens one connection for each page of each poll (every 0.7 s), an entry one for each direct read.

--- a/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
@@ -12,7 +12,13 @@
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
-/** Makes HTTP clients for the platform's API. Stateless and thread-safe. */
+/**
+ * Makes HTTP clients for the platform's API.
+ *
+ * <p>The platform's responses name no call. Invariant: each call has a connection of its own, so
+ * that bytes that belong to one call are never taken for the response to another. Stateless and
+ * thread-safe.
+ */
 public final class PlatformHttp {
   private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
@@ -31,9 +37,8 @@
   }
 
   /** Returns a client that sends each call once and waits for its response up to a timeout. */
-  public static HttpClient client(
-      ConnectionProvider connections, String address, Duration timeout) {
-    return HttpClient.create(connections)
+  public static HttpClient client(String address, Duration timeout) {
+    return HttpClient.create(ConnectionProvider.newConnection())
         .baseUrl("http://" + address)
         .disableRetry(true)
         .followRedirect(false)
@@ -42,12 +47,9 @@
         .responseTimeout(timeout);
   }
 
-  /**
-   * Returns a client for orders, which opens a new connection for each call and sends nothing
-   * without the lease.
-   */
+  /** Returns a client for orders, which sends nothing without the lease. */
   public static HttpClient orders(String address, Duration timeout, BooleanSupplier holdsLease) {
-    return client(ConnectionProvider.newConnection(), address, timeout)
+    return client(address, timeout)
         .doOnConnected(
             connection ->
                 connection.channel().pipeline().addFirst("leaseGate", new LeaseGate(holdsLease)));
