Requests: refuse transfer encodings other than chunked

What callers saw: a request with another transfer encoding (identity, gzip, an unknown one, one after chunked) ran without its body, and what its body said ran as the next request on the connection.

Cause: the library's decoder takes a body with such an encoding for an empty one; nothing else looked at the encoding.

Evidence: CallerConnectionTest.bodyWithoutAKnownEnd…, red before: two responses with status 200, the second one to the request within the body.

Bodies that are compressed and then chunked are refused too.

--- a/entry/src/main/java/org/endivemux/entry/EntryServer.java
+++ b/entry/src/main/java/org/endivemux/entry/EntryServer.java
@@ -11,6 +11,7 @@
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.VmId;
+import org.endivemux.wire.RequestFraming;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -51,7 +52,7 @@
 
   /** Starts the listener; throws {@code ChannelBindException} when the port is in use. */
   public DisposableServer start(InetSocketAddress address) {
-    return HttpServer.create()
+    return RequestFraming.install(HttpServer.create())
         .bindAddress(() -> address)
         .httpRequestDecoder(
             spec ->
