Requests: never run what had arrived of a malformed body

What callers saw: a chunked body whose later chunks are malformed got status 400, while the chunks before were passed on to a backend server as the complete body and ran.

Cause: the library responds to malformed chunks by itself, and completes the body for whoever reads it instead of failing it.

Change: RequestFraming marks the connection before the library sees the malformed part, and a body that completes on such a connection fails with MALFORMED_BODY.

--- a/entry/src/main/java/org/endivemux/entry/Exchange.java
+++ b/entry/src/main/java/org/endivemux/entry/Exchange.java
@@ -9,6 +9,7 @@
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.wire.BoundedBytes;
+import org.endivemux.wire.RequestFraming;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.server.HttpServerRequest;
 import reactor.netty.http.server.HttpServerResponse;
@@ -56,7 +57,9 @@
   /** Reads the body; fails with a refusal if it exceeds the limit. */
   Mono<byte[]> body(int limit) {
     return BoundedBytes.collectOrDiscard(
-        request.receive().asByteArray(), limit, () -> new RefusedException(Reason.BODY_TOO_LARGE));
+        RequestFraming.body(request, () -> new RefusedException(Reason.MALFORMED_BODY)),
+        limit,
+        () -> new RefusedException(Reason.BODY_TOO_LARGE));
   }
 
   Mono<Void> json(int status, Object body) {
--- a/integration/src/test/java/org/endivemux/integration/MalformedBodyTest.java
+++ b/integration/src/test/java/org/endivemux/integration/MalformedBodyTest.java
@@ -10,6 +10,20 @@
 final class MalformedBodyTest {
   private static final String BAD_REQUEST = "HTTP/1.1 400 ";
 
+  /** Guards against a part of a body that runs as the whole, while its caller gets a 400. */
+  @Example
+  void saleWithMalformedChunksIsNotRun() {
+    try (Cluster cluster = Cluster.started(1, 0)) {
+      Vm vm = cluster.vms.get(0);
+      String key = cluster.key("eggs");
+      String id = Cluster.newIdempotencyKey();
+      String malformed = "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\nzz\r\n";
+      assertThat(statusOfSale(vm, key, id, malformed)).startsWith(BAD_REQUEST);
+      assertThat(Cluster.sale(vm, key, id, "{\"eggs\":1}").status()).isEqualTo(200);
+      assertThat(cluster.till.runsOf(id)).isEqualTo(1);
+    }
+  }
+
   /** Guards against a body that is taken for the next request on its connection. */
   @Example
   void saleWithoutAKnownEndIsNotRunNorIsItsBody() {
--- a/model/src/main/java/org/endivemux/model/Reason.java
+++ b/model/src/main/java/org/endivemux/model/Reason.java
@@ -12,7 +12,8 @@
 public enum Reason {
   UNKNOWN_ROUTE(404, NOT_RUN, 0, "No route has this path; see the operators' pages for the list."),
   METHOD_NOT_ALLOWED(405, NOT_RUN, 0, "This path does not take this method."),
-  MALFORMED_BODY(400, NOT_RUN, 0, "The body is not the JSON object that this route takes."),
+  MALFORMED_BODY(
+      400, NOT_RUN, 0, "The body is malformed, or not the JSON object that this route takes."),
   BODY_TOO_LARGE(413, NOT_RUN, 0, "The body is longer than the entry accepts."),
   HEADERS_TOO_LARGE(431, NOT_RUN, 0, "The headers are longer than the entry accepts."),
   UNKNOWN_MODEL(404, NOT_RUN, 0, "No declared model has this name."),
