An entry that no reply reaches holds a change for 2.5 s, not for over 4

What an operator saw: a change of a small configuration was acknowledged after 4.3 s when the replies to one entry were lost, or came later than the entry waits for them, although its polls arrived.

Cause: an entry counted as in contact while its polls arrived and the last of them said that the one before was answered less than 2.5 s ago. A poll that is not answered is sent again, after 1.2 s at first and then after longer and longer; each of them began the 2.5 s again, and a second attempt of the same poll repeats the statement of the first one.

The operator of the simulation now gives a call one second and then sends it again, as operators do; it had waited without end before.

Why this works: one condition is left, the age of the last poll whose reply is known to have reached the entry. An entry with older state that is not waited for may use it for 2 s after the acknowledgement at most: a proof of fresh state ends 2 s after its poll was sent.

--- a/control/src/main/java/org/endivemux/control/voter/EntryRegistry.java
+++ b/control/src/main/java/org/endivemux/control/voter/EntryRegistry.java
@@ -101,13 +101,12 @@
 
   /**
    * Returns the entries in contact that may still decide by state older than a revision. An entry
-   * is in contact while its polls arrive and the replies reach it.
+   * is in contact while the last poll whose reply is known to have reached it is recent.
    */
   synchronized List<VmId> entriesBehind(long revision, long now) {
     return polls.values().stream()
         .filter(poll -> poll.revision() < revision)
-        .filter(poll -> now - poll.at() <= ENTRY_EXPIRY_NANOS)
-        .filter(poll -> poll.at() - poll.answeredAt() <= ENTRY_EXPIRY_NANOS)
+        .filter(poll -> now - poll.answeredAt() <= ENTRY_EXPIRY_NANOS)
         .map(poll -> poll.entry().vm())
         .sorted()
         .toList();
--- a/control/src/test/java/org/endivemux/control/voter/AcknowledgedInForceTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/AcknowledgedInForceTest.java
@@ -57,6 +57,32 @@
     checkInForce(load(436, 6, 3, Duration.ofSeconds(5)), Trouble.LOST_REPLIES);
   }
 
+  /**
+   * Guards against a change of a small configuration that an entry which ended holds for too long.
+   */
+  @Example
+  void entryThatEndsDoesNotHoldTheAcknowledgementForTooLong() {
+    checkInForce(load(26, 6, 1, Duration.ofSeconds(5)), Trouble.ENTRY_ENDS);
+  }
+
+  /** Guards against a change that is held for too long by an entry that no reply reaches. */
+  @Example
+  void lostRepliesDoNotHoldTheAcknowledgementForTooLong() {
+    checkInForce(load(26, 6, 1, Duration.ofSeconds(5)), Trouble.LOST_REPLIES);
+  }
+
+  /** Guards against a change that is held for too long by an entry that reads its replies late. */
+  @Example
+  void slowEntryDoesNotHoldTheAcknowledgementForTooLong() {
+    checkInForce(load(26, 6, 1, Duration.ofSeconds(5)), Trouble.SLOW_ENTRY);
+  }
+
+  /** Guards against an election and the wait for entries that together take too long. */
+  @Example
+  void changeBesideAnElectionIsAcknowledgedInTime() {
+    checkInForce(load(26, 6, 1, Duration.ofSeconds(5)), Trouble.LEADER_ENDS);
+  }
+
   /** Changes of the whole configuration, of which a link carries less than half in a second. */
   private static Load slowLinks(int changes) {
     return new Load(
--- a/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
+++ b/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
@@ -11,6 +11,7 @@
 import org.endivemux.consensus.ConsensusCore.Status;
 import org.endivemux.consensus.Membership;
 import org.endivemux.consensus.Role;
+import org.endivemux.consensus.Timing;
 import org.endivemux.control.client.ControlClient;
 import org.endivemux.control.client.GatewayConfigWriter;
 import org.endivemux.control.client.GatewaySyncState;
@@ -47,6 +48,18 @@
   private static final Duration STEP = Duration.ofMillis(1);
   private static final Duration WARM_UP = Duration.ofSeconds(5);
 
+  /** How long an operator waits for a response before it sends the change again. */
+  private static final Duration OPERATOR_LIMIT = Duration.ofSeconds(1);
+
+  private static final Duration OPERATOR_FIRST_PAUSE = Duration.ofMillis(100);
+  private static final Duration OPERATOR_MAX_PAUSE = Duration.ofSeconds(1);
+
+  /** Longer than the first attempts of a poll, shorter than the next ones. */
+  private static final Duration SLOW_ENTRY_PAUSE = Duration.ofMillis(2300);
+
+  /** From the end of a leader to the next lease, unless votes are split. */
+  private static final long LONGEST_ELECTION_NANOS = 2 * Timing.standard().electionNanos();
+
   /** Processor time of a whole core to encode or decode one byte of a message. */
   private static final double NANOS_PER_BYTE = 40;
 
@@ -88,8 +101,14 @@
     NONE,
     /** The replies to one entry are lost; its polls arrive. */
     LOST_REPLIES,
+    /** One entry takes long to read what it receives, though not too long to follow. */
+    SLOW_ENTRY,
+    /** One entry ends without a word. */
+    ENTRY_ENDS,
     /** The leader changes, so that it does not know the entries yet. */
-    NEW_LEADER
+    NEW_LEADER,
+    /** The leader ends, and an election goes before the next one. */
+    LEADER_ENDS
   }
 
   /** Writes the changes one after the other and returns when each was acknowledged and in force. */
@@ -98,8 +117,7 @@
     entries.forEach(entry -> entry.follower.start());
     advance(WARM_UP);
     acknowledged.clear();
-    entries.get(0).losesReplies = trouble == Trouble.LOST_REPLIES;
-    leader.term += trouble == Trouble.NEW_LEADER ? 1 : 0;
+    begin(trouble);
     for (int i = 0; i < load.changes(); i++) {
       write(2 + i);
       advance(load.gap());
@@ -108,6 +126,17 @@
     return List.copyOf(acknowledged);
   }
 
+  private void begin(Trouble trouble) {
+    Entry entry = entries.get(0);
+    entry.isOutOfContact = trouble == Trouble.LOST_REPLIES || trouble == Trouble.ENTRY_ENDS;
+    entry.pause = trouble == Trouble.SLOW_ENTRY ? SLOW_ENTRY_PAUSE : Duration.ZERO;
+    if (trouble == Trouble.ENTRY_ENDS) {
+      entry.follower.close();
+    }
+    leader.term += trouble == Trouble.NEW_LEADER || trouble == Trouble.LEADER_ENDS ? 1 : 0;
+    leader.leaseFrom = trouble == Trouble.LEADER_ENDS ? nanos() + LONGEST_ELECTION_NANOS : nanos();
+  }
+
   private void write(long version) {
     ControlClient control =
         new ControlClient(vm -> ControlClient.local(service::handle), List.of(LEADER));
@@ -115,7 +144,11 @@
     var unused =
         new GatewayConfigWriter(control, WRITE_LIMIT)
             .write(Command.PutGatewayConfig.of(load.config(version), new byte[10]))
-            .retryWhen(Retry.indefinitely())
+            .timeout(OPERATOR_LIMIT)
+            .retryWhen(
+                Retry.backoff(Long.MAX_VALUE, OPERATOR_FIRST_PAUSE)
+                    .maxBackoff(OPERATOR_MAX_PAUSE)
+                    .jitter(0))
             .subscribe(none -> {}, error -> {}, () -> acknowledge(version, sentAt));
   }
 
@@ -130,7 +163,7 @@
 
   private List<VmId> entriesBehind(long version) {
     return entries.stream()
-        .filter(entry -> !entry.losesReplies)
+        .filter(entry -> !entry.isOutOfContact)
         .filter(entry -> entry.follower.view().gateway().version() < version)
         .map(entry -> entry.vm)
         .toList();
@@ -232,7 +265,8 @@
     private final Processor processor = new Processor(ENTRY_CORES);
     private final Link link = new Link();
     private final ViewFollower follower;
-    private boolean losesReplies;
+    private boolean isOutOfContact;
+    private Duration pause = Duration.ZERO;
 
     Entry(int number) {
       this.vm = new VmId("127.0.0.1:" + (1000 + number));
@@ -258,13 +292,14 @@
 
     private Mono<ControlReply> deliver(ControlReply reply) {
       long bytes = MessagePackCodec.encode(reply).length;
-      if (losesReplies) {
+      if (isOutOfContact) {
         return Mono.never();
       }
       return leaderProcessor
           .work(bytes)
           .then(link.carry(bytes))
           .then(processor.work(bytes))
+          .then(Mono.defer(() -> Mono.delay(pause, time)))
           .thenReturn(reply);
     }
   }
@@ -275,6 +310,7 @@
     private final List<Runnable> listeners = new ArrayList<>();
     private long index;
     private long term = 1;
+    private long leaseFrom;
 
     @Override
     public CompletableFuture<CommandResult> submit(Command command) {
@@ -325,7 +361,7 @@
 
     @Override
     public boolean holdsLease() {
-      return true;
+      return nanos() >= leaseFrom;
     }
   }
 }
