--- a/routing/src/main/java/org/endivemux/routing/Scheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/Scheduler.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.ClassName;
@@ -39,51 +38,32 @@
   private static final double RESERVED_SHARE = 0.2;
 
   private static final int MAX_WAITING_PER_ORGANISATION = 1000;
-  private static final double STRAGGLER_RATIO = 3;
   private static final double NANOS_PER_MILLI = 1e6;
-  private static final double DEFAULT_FIRST_BYTE_MILLIS = 20;
 
-  private final FailureDomain domain;
   private final SelectionPolicy policy;
   private final Map<QueueId, FairQueue> queues = new TreeMap<>();
-  private final Map<BackendServerId, ServerState> servers = new TreeMap<>();
+  private final KnownServers servers;
   private final Map<RequestId, Running> running = new HashMap<>();
-  private final Map<ClassName, Double> floorCredits = new HashMap<>();
+  private final FloorCredits floorCredits = new FloorCredits();
   private final LengthEstimator lengths = new LengthEstimator();
   private final WaitEstimator waits = new WaitEstimator();
   private DeclarationIndex declared = new DeclarationIndex(Declaration.empty());
-  private double medianNanosPerToken;
 
   public Scheduler(FailureDomain domain, SelectionPolicy policy) {
-    this.domain = domain;
+    this.servers = new KnownServers(domain);
     this.policy = SelectionPolicies.withRepeatableOnlyOnSpot(policy);
   }
 
   /** Replaces the configuration and the set of leaving backend servers. */
   public void configure(DeclarationIndex newer, Predicate<BackendServerId> leaving) {
     declared = newer;
-    newer
-        .declaration()
-        .backendServers()
-        .forEach(
-            server -> {
-              ServerState state =
-                  servers.computeIfAbsent(server.id(), id -> new ServerState(server));
-              state.declare(server);
-              state.leaving = leaving.test(server.id());
-            });
-    servers.values().forEach(state -> state.leaving |= isGone(state));
-    servers.values().removeIf(state -> state.leaving && state.own() == 0 && isGone(state));
-  }
-
-  private boolean isGone(ServerState state) {
-    return !declared.declaration().backendServers().contains(state.server);
+    servers.configure(newer.declaration(), leaving);
   }
 
   /** Queues a job, or refuses it at once. */
   public Optional<Refusal> offer(Job job, long now) {
     RequestClass requestClass = classOf(job.requestClass());
-    if (serversOf(job).findAny().isEmpty()) {
+    if (servers.serversOf(job).findAny().isEmpty()) {
       return Optional.of(new Refusal(job, Reason.NO_CAPACITY, 0));
     }
     FairQueue queue = queues.computeIfAbsent(queueId(job), id -> new FairQueue());
@@ -106,11 +86,6 @@
     return Math.min(queue.size(), own * Math.max(1, organisations) + organisations);
   }
 
-  private Stream<ServerState> serversOf(Job job) {
-    return servers.values().stream()
-        .filter(state -> !state.leaving && state.server.serves().contains(job.route()));
-  }
-
   /** Binds as many waiting jobs as the free capacity allows. */
   public List<Assignment> assign(long now) {
     List<Assignment> assignments = new ArrayList<>();
@@ -123,7 +98,7 @@
   }
 
   private Optional<Assignment> assignOne(long now) {
-    medianNanosPerToken = medianNanosPerToken();
+    servers.updateMedianSpeed();
     return queues.entrySet().stream()
         .filter(queue -> queue.getValue().size() > 0)
         .sorted(Comparator.comparing(queue -> rank(queue.getKey(), queue.getValue(), now)))
@@ -135,7 +110,7 @@
     RequestClass requestClass = classOf(id.requestClass());
     double waitedMillis = (now - queue.oldestArrival()) / NANOS_PER_MILLI;
     boolean aged = waitedMillis > requestClass.maxWaitMillis() / 2.0;
-    boolean owedFloorShare = floorCredits.getOrDefault(id.requestClass(), 0.0) >= 1;
+    boolean owedFloorShare = floorCredits.isOwed(id.requestClass());
     int group = owedFloorShare ? 0 : requestClass.protectedTier() ? 1 : 2;
     int tier = aged && !requestClass.protectedTier() ? -1 : requestClass.tier();
     return new Rank(group, tier, queue.oldestArrival());
@@ -145,10 +120,11 @@
     RequestClass requestClass = classOf(id.requestClass());
     Job job = queue.peek().orElseThrow();
     Stream<Candidate> candidates =
-        serversOf(job)
+        servers
+            .serversOf(job)
             .filter(
                 state -> state.hasCapacity(requestClass.protectedTier(), reservedShare(state), now))
-            .map(state -> candidate(job, state, now));
+            .map(state -> servers.candidate(job, state, now));
     return policy
         .choose(job, candidates)
         .map(chosen -> start(job, queue, requestClass, chosen.server(), now));
@@ -163,50 +139,14 @@
     return sharedWithProtected ? RESERVED_SHARE : 0;
   }
 
-  private Candidate candidate(Job job, ServerState state, long now) {
-    double firstByteMillis =
-        state
-            .firstByteNanos()
-            .map(nanos -> nanos / NANOS_PER_MILLI)
-            .orElse(DEFAULT_FIRST_BYTE_MILLIS);
-    return new Candidate(
-        state.server,
-        state.own(),
-        state.total(now),
-        state.capacity(),
-        firstByteMillis,
-        slowness(state),
-        state.mayHoldPrefix(job.prefix()),
-        state.server.failureDomain().equals(domain));
-  }
-
-  private double slowness(ServerState state) {
-    double relative =
-        state
-            .nanosPerToken()
-            .filter(nanos -> medianNanosPerToken > 0)
-            .map(nanos -> nanos / medianNanosPerToken)
-            .orElse(1.0);
-    return relative > STRAGGLER_RATIO ? relative * relative : Math.max(1, relative);
-  }
-
-  private double medianNanosPerToken() {
-    List<Double> known =
-        servers.values().stream()
-            .flatMap(state -> state.nanosPerToken().stream())
-            .sorted()
-            .toList();
-    return known.isEmpty() ? 0 : known.get((known.size() - 1) / 2);
-  }
-
   private Assignment start(
       Job job, FairQueue queue, RequestClass requestClass, BackendServer server, long now) {
     double cost =
         job.promptTokens() / 8.0 + lengths.quantile(job.requestClass(), job.organisation(), 0.5);
     queue.take(cost, shareOf(job));
-    creditFloors(job.requestClass());
+    floorCredits.assigned(job.requestClass(), waitingClasses());
     waits.started(queueId(job).toString(), queue.size() > 0, now);
-    servers.get(server.id()).started(job, requestClass.protectedTier());
+    servers.started(server.id(), job, requestClass.protectedTier());
     running.put(job.id(), new Running(job, server.id(), requestClass.protectedTier()));
     return new Assignment(job, server);
   }
@@ -215,18 +155,12 @@
     return declared.organisation(job.organisation()).map(Organisation::share).orElse(1);
   }
 
-  /** Credits every other waiting class with its floor share; debits the chosen class by one. */
-  private void creditFloors(ClassName chosen) {
-    queues.entrySet().stream()
+  private Stream<RequestClass> waitingClasses() {
+    return queues.entrySet().stream()
         .filter(queue -> queue.getValue().size() > 0)
         .map(queue -> queue.getKey().requestClass())
         .distinct()
-        .filter(name -> !name.equals(chosen))
-        .forEach(
-            name ->
-                floorCredits.merge(
-                    name, classOf(name).floorShare(), (known, more) -> Math.min(2, known + more)));
-    floorCredits.computeIfPresent(chosen, (name, known) -> Math.max(0, known - 1));
+        .map(this::classOf);
   }
 
   /** Records the end of a job's attempt and removes the job. */
@@ -237,11 +171,7 @@
     }
     Job job = ended.job();
     long targetNanos = (long) (classOf(job.requestClass()).targetMillis() * NANOS_PER_MILLI);
-    ServerState state = servers.get(ended.server());
-    state.ended(ended.isProtected(), seen, targetNanos, now);
-    if (state.leaving && state.own() == 0 && isGone(state)) {
-      servers.remove(ended.server());
-    }
+    servers.ended(ended.server(), ended.isProtected(), seen, targetNanos, now);
     if (seen.result() == Result.OK && seen.answerTokens() > 0) {
       lengths.recordLength(job.requestClass(), job.organisation(), seen.answerTokens());
     }
@@ -272,23 +202,12 @@
 
   /** Replaces what another entry reports to have in flight at each backend server. */
   public void peerDigest(String peer, List<InFlightAt> inFlight, long now) {
-    Map<Integer, Integer> requests =
-        inFlight.stream()
-            .collect(Collectors.toMap(InFlightAt::server, InFlightAt::requests, Integer::sum));
-    servers
-        .values()
-        .forEach(
-            state ->
-                state.updatePeer(
-                    peer, requests.getOrDefault(InFlightAt.tag(state.server.id()), 0), now));
+    servers.peerDigest(peer, inFlight, now);
   }
 
   /** Returns the requests that this entry has in flight at each backend server that has any. */
   public List<InFlightAt> digest() {
-    return servers.values().stream()
-        .filter(state -> state.own() > 0)
-        .map(state -> new InFlightAt(InFlightAt.tag(state.server.id()), state.own(), 0))
-        .toList();
+    return servers.digest();
   }
 
   /** Returns the number of waiting jobs. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -12,7 +12,6 @@
 import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
@@ -39,21 +38,6 @@
   /** Peer name for the sum over all other entries. */
   private static final String ALL_OTHER_ENTRIES = "all others";
 
-  /** Copying fewer tokens from another engine takes longer than their prefill. */
-  private static final int MIN_COPIED_TOKENS = 384;
-
-  /**
-   * Servers sampled from the job's own group, and again from all, in a large fleet. Comparing more
-   * of them lets many entries select the same one at the same moment.
-   */
-  private static final int SAMPLES_PER_GROUP = 1;
-
-  /**
-   * Engines of a large fleet that hold the same shared prompt part. Each further one reads the part
-   * once more, and fewer would be too few for a part that many requests use.
-   */
-  private static final int REPLICAS_PER_PART = 2;
-
   /**
    * Multiple of its slots that an engine of a large fleet is sent. Otherwise jobs that wait at many
    * entries would all take the same free slots as soon as they learn of them, while an engine's own
@@ -64,20 +48,13 @@
   /** The fleet no longer counts as large when the last sum is this old. */
   private static final long AGGREGATE_LOAD_EXPIRY_NANOS = 3_000_000_000L;
 
-  /**
-   * Penalty for a server outside the job's group: long prompts and other requests mix only when
-   * keeping them apart would cost more than this.
-   */
-  private static final double OTHER_GROUP_PENALTY_MILLIS = 250;
-
-  private final FleetCost cost;
+  private final ServerSelection selection;
   private final ServerNotices notices;
   private final Map<ServiceName, ServiceSpec> specs = new HashMap<>();
   private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
   private final Map<RequestId, ServerLoad> running = new HashMap<>();
   private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
-  private LongPromptServers longPromptServers = new LongPromptServers(List.of());
   private long aggregateLoadAt = Long.MIN_VALUE / 2;
 
   /**
@@ -95,7 +72,7 @@
       long expectedPrefillNanos) {}
 
   public FleetScheduler(FailureDomain domain, ServerNotices notices) {
-    this.cost = new FleetCost(domain);
+    this.selection = new ServerSelection(domain);
     this.notices = notices;
   }
 
@@ -110,7 +87,7 @@
     Map<BackendServerId, GatewayServer> byId = new HashMap<>();
     listed.forEach(server -> byId.put(server.id(), server));
     servers.keySet().retainAll(byId.keySet());
-    longPromptServers = new LongPromptServers(listed);
+    selection.updateServers(listed);
     byId.values()
         .forEach(
             server ->
@@ -154,7 +131,8 @@
       hasCapacity = chosen.isPresent();
       if (hasCapacity) {
         jobs.remove();
-        Optional<GatewayServer> copyFrom = copyFrom(job, chosen.get());
+        Optional<GatewayServer> copyFrom =
+            selection.copyFrom(job, chosen.get(), serversOf(job.service()));
         chosen.get().started(job, now);
         running.put(job.id(), chosen.get());
         bound.add(
@@ -175,84 +153,17 @@
             .toList();
     List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
     List<ServerLoad> candidates = available.isEmpty() ? open : available;
-    List<ServerLoad> preferred = preferredServers(job, candidates, now);
-    return Stream.concat(preferred.stream(), sampledCandidates(job, candidates, now))
-        .min(
-            Comparator.comparingDouble(
-                load ->
-                    cost.millis(
-                            job, load, preferred.contains(load), prefillRate(job.service()), now)
-                        + (isOfOwnGroup(job, load) ? 0 : OTHER_GROUP_PENALTY_MILLIS)));
+    return selection.choose(job, candidates, prefillRate(job.service()), isLarge(now), now);
   }
 
   private PrefillRate prefillRate(ServiceName service) {
     return prefillRates.computeIfAbsent(service, name -> new PrefillRate());
   }
 
-  private List<ServerLoad> preferredServers(FleetJob job, List<ServerLoad> candidates, long now) {
-    return job.prompt()
-        .sessionPart()
-        .map(
-            part ->
-                PreferredServers.preferredServersOf(
-                    part, ownGroup(job, candidates), isLarge(now) ? REPLICAS_PER_PART : 1))
-        .orElse(List.of());
-  }
-
-  /**
-   * Returns all candidates of a small fleet and a sample of a large one. The load of a large fleet
-   * is known with a delay, so entries that all select the apparently best server would overload it.
-   */
-  private Stream<ServerLoad> sampledCandidates(
-      FleetJob job, List<ServerLoad> candidates, long now) {
-    if (!isLarge(now) || candidates.isEmpty()) {
-      return candidates.stream();
-    }
-    List<ServerLoad> own = ownGroup(job, candidates);
-    return Stream.concat(
-        IntStream.range(0, own.isEmpty() ? 0 : SAMPLES_PER_GROUP)
-            .mapToObj(i -> own.get(sampleIndex(job, i, own.size()))),
-        IntStream.range(SAMPLES_PER_GROUP, 2 * SAMPLES_PER_GROUP)
-            .mapToObj(i -> candidates.get(sampleIndex(job, i, candidates.size()))));
-  }
-
   private boolean isLarge(long now) {
     return now - aggregateLoadAt < AGGREGATE_LOAD_EXPIRY_NANOS;
   }
 
-  private static int sampleIndex(FleetJob job, int number, int bound) {
-    int mixed = (job.id().hashCode() * 31 + number) * 0x9E3779B9;
-    return Math.floorMod(mixed ^ (mixed >>> 15), bound);
-  }
-
-  /** Returns the server that caches most of a job's shared parts, if the chosen one lacks some. */
-  private Optional<GatewayServer> copyFrom(FleetJob job, ServerLoad chosen) {
-    int cached = chosen.cachedTokens(job.prompt());
-    Optional<PromptPart> session = job.prompt().sessionPart();
-    if (session.isEmpty() || job.prompt().sharedTokens() - cached < MIN_COPIED_TOKENS) {
-      return Optional.empty();
-    }
-    List<ServerLoad> others =
-        serversOf(job.service()).filter(load -> !load.equals(chosen)).toList();
-    Optional<ServerLoad> best =
-        others.stream().max(Comparator.comparingInt(load -> load.cachedTokens(job.prompt())));
-    return best.filter(load -> load.cachedTokens(job.prompt()) > cached)
-        .or(
-            () ->
-                PreferredServers.preferredServersOf(session.get(), ownGroup(job, others), 1)
-                    .stream()
-                    .findFirst())
-        .map(ServerLoad::server);
-  }
-
-  private List<ServerLoad> ownGroup(FleetJob job, List<ServerLoad> loads) {
-    return loads.stream().filter(load -> isOfOwnGroup(job, load)).toList();
-  }
-
-  private boolean isOfOwnGroup(FleetJob job, ServerLoad load) {
-    return longPromptServers.contains(load.server()) == job.longPrompts();
-  }
-
   private Stream<ServerLoad> serversOf(ServiceName service) {
     return servers.values().stream()
         .filter(load -> load.server().service().equals(service) && !isLeaving(load.server()));
--- a/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PartQuarantine.java
@@ -1,9 +1,7 @@
 package org.endivemux.routing.fleet;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,12 +9,10 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.PromptPartId;
 import org.endivemux.model.VmId;
 import org.endivemux.model.crash.CrashNews;
-import org.endivemux.model.crash.CrashReport;
 import org.endivemux.model.crash.PartVerdicts;
 
 /**
@@ -53,9 +49,6 @@
    */
   private static final int MIN_OTHER_COMPLETIONS = 5;
 
-  /** Crashes within this time have a common cause, such as the loss of a failure domain. */
-  private static final long SAME_CAUSE_NANOS = 40_000_000L;
-
   private static final long FIRST_TRIAL_NANOS = 60_000_000_000L;
 
   /** How long after a change of the leader entries' quarantined parts are taken over. */
@@ -73,7 +66,7 @@
   private final Map<BackendServerId, Long> completionsBefore = new HashMap<>();
 
   private long totalCompletions;
-  private final Map<VmId, ReceivedNews> news = new HashMap<>();
+  private final Map<VmId, Crashes.Received> news = new HashMap<>();
   private final Map<PromptPartId, Long> completedAt = new HashMap<>();
   private final Map<PromptPartId, Long> suspectSince = new TreeMap<>();
   private final Map<PromptPartId, Quarantine> quarantined = new TreeMap<>();
@@ -121,7 +114,7 @@
     if (received.crashes().isEmpty()) {
       news.remove(entry);
     } else {
-      news.put(entry, new ReceivedNews(received.crashes(), now));
+      news.put(entry, new Crashes.Received(received.crashes(), now));
     }
     received
         .completed()
@@ -145,96 +138,56 @@
   }
 
   private void judge(long now) {
-    List<Crash> unexplained = crashes();
-    unexplained.removeIf(crash -> !isServiceWorking(crash));
-    removeExplained(unexplained);
+    Crashes unexplained =
+        Crashes.reportedIn(news.values())
+            .withoutParts(this::isHarmless)
+            .of(this::isServiceWorking)
+            .underNoneOf(quarantined.keySet());
     updateSuspects(unexplained, now);
     Optional<PromptPartId> culprit = culprit(unexplained, now);
     while (culprit.isPresent()) {
       quarantine(culprit.get(), now);
-      removeExplained(unexplained);
+      unexplained = unexplained.underNoneOf(quarantined.keySet());
       updateSuspects(unexplained, now);
       culprit = culprit(unexplained, now);
     }
   }
 
-  /** Returns the crashes, oldest first, each with the parts that were not completed since. */
-  private List<Crash> crashes() {
-    Map<BackendServerId, Crash> byServer = new HashMap<>();
-    news.values()
-        .forEach(
-            received ->
-                received
-                    .crashes()
-                    .forEach(
-                        report ->
-                            byServer
-                                .computeIfAbsent(report.server(), Crash::new)
-                                .add(report, received.at())));
-    byServer.values().forEach(crash -> crash.parts.removeIf(part -> isHarmless(part, crash)));
-    return byServer.values().stream()
-        .sorted(Comparator.comparingLong(crash -> crash.at))
-        .collect(Collectors.toCollection(ArrayList::new));
-  }
-
-  private boolean isHarmless(PromptPartId part, Crash crash) {
+  private boolean isHarmless(PromptPartId part, long crashedAt) {
     return Optional.ofNullable(completedAt.get(part))
-        .filter(at -> at > crash.at - CrashTracker.HARMLESS_NANOS)
+        .filter(at -> at > crashedAt - CrashTracker.HARMLESS_NANOS)
         .isPresent();
   }
 
-  private boolean isServiceWorking(Crash crash) {
-    long before = completionsBefore.computeIfAbsent(crash.server, server -> totalCompletions);
+  private boolean isServiceWorking(BackendServerId crashed) {
+    long before = completionsBefore.computeIfAbsent(crashed, server -> totalCompletions);
     return totalCompletions - before >= MIN_OTHER_COMPLETIONS;
   }
 
-  private void removeExplained(List<Crash> crashes) {
-    crashes.removeIf(crash -> crash.parts.stream().anyMatch(quarantined::containsKey));
-  }
-
-  private void updateSuspects(List<Crash> crashes, long now) {
+  private void updateSuspects(Crashes crashes, long now) {
     Set<PromptPartId> suspects =
-        parts(crashes).stream()
-            .filter(part -> crashesUnder(part, crashes) >= SUSPECT_CRASHES)
+        crashes.parts().stream()
+            .filter(part -> crashes.countUnder(part) >= SUSPECT_CRASHES)
             .collect(Collectors.toCollection(TreeSet::new));
     suspectSince.keySet().retainAll(suspects);
     suspects.forEach(part -> suspectSince.putIfAbsent(part, now));
   }
 
-  private static Set<PromptPartId> parts(List<Crash> crashes) {
-    return crashes.stream().flatMap(crash -> crash.parts.stream()).collect(Collectors.toSet());
-  }
-
   /** Returns the part to quarantine; of equal ones, one that was not completed at all lately. */
-  private Optional<PromptPartId> culprit(List<Crash> crashes, long now) {
+  private Optional<PromptPartId> culprit(Crashes crashes, long now) {
     return suspectSince.keySet().stream()
         .max(
-            Comparator.comparingInt((PromptPartId part) -> crashesUnder(part, crashes))
+            Comparator.comparingInt((PromptPartId part) -> crashes.countUnder(part))
                 .thenComparing(part -> !completedAt.containsKey(part))
                 .thenComparing(Comparator.reverseOrder()))
         .filter(part -> now - suspectSince.get(part) >= ANSWER_WAIT_NANOS)
         .filter(part -> explainsMost(part, crashes));
   }
 
-  private static boolean explainsMost(PromptPartId part, List<Crash> crashes) {
-    Stream<Crash> sinceFirst = crashes.stream().dropWhile(crash -> !crash.parts.contains(part));
-    int explained = crashesUnder(part, crashes);
-    return explained >= QUARANTINE_CRASHES && explained >= MIN_EXPLAINED_SHARE * count(sinceFirst);
-  }
-
-  private static int crashesUnder(PromptPartId part, List<Crash> crashes) {
-    return count(crashes.stream().filter(crash -> crash.parts.contains(part)));
-  }
-
-  /** Returns the number of crashes, oldest first; those with a common cause count as one. */
-  private static int count(Stream<Crash> crashes) {
-    int count = 0;
-    long last = 0;
-    for (Crash crash : crashes.toList()) {
-      count += count == 0 || crash.at - last > SAME_CAUSE_NANOS ? 1 : 0;
-      last = crash.at;
-    }
-    return count;
+  private static boolean explainsMost(PromptPartId part, Crashes crashes) {
+    int explained = crashes.countUnder(part);
+    return explained >= QUARANTINE_CRASHES
+        && explained >= MIN_EXPLAINED_SHARE * crashes.countSinceFirstUnder(part);
   }
 
   /** Returns the verdicts for an entry, and grants it the trials that are due. */
@@ -262,24 +215,6 @@
     return List.copyOf(quarantined.keySet());
   }
 
-  private record ReceivedNews(List<CrashReport> crashes, long at) {}
-
-  /** One crash, as told by all entries; the earliest report gives its time. */
-  private static final class Crash {
-    private final Set<PromptPartId> parts = new HashSet<>();
-    private final BackendServerId server;
-    private long at = Long.MAX_VALUE;
-
-    Crash(BackendServerId server) {
-      this.server = server;
-    }
-
-    void add(CrashReport report, long receivedAt) {
-      at = Math.min(at, receivedAt - report.ageMillis() * NANOS_PER_MILLI);
-      parts.addAll(report.parts());
-    }
-  }
-
   /** One quarantine; the time until the next trial doubles. */
   private static final class Quarantine {
     private final long since;
