RelayTest: one class for each subject

RelayTest had 470 lines on four subjects. Repeats and refusals stay there (8 tests); streams (6), time limits (6) and planned stops (2) have classes of their own, with RelayRuns and ScriptedBackend in common.

--- /dev/null
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -0,0 +1,142 @@
+package org.endivemux.gateway;
+
+import com.codahale.metrics.MetricRegistry;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.voter.Clocks;
+import org.endivemux.model.OrganisationId;
+import org.endivemux.model.Reason;
+import org.endivemux.model.crash.CrashNews;
+import org.endivemux.model.gateway.ClientLimits;
+import org.endivemux.model.gateway.GatewayConfig;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.HostRoute;
+import org.endivemux.model.gateway.RequestKind;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.model.gateway.Share;
+import org.endivemux.routing.fleet.PromptShape;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Schedulers;
+
+/** Runs requests through a relay to three scripted backend servers. Stateless. */
+final class RelayRuns {
+  static final Duration LIMIT = Duration.ofSeconds(20);
+
+  private static final ServiceName SERVICE = new ServiceName("service");
+  private static final Duration START_SLACK = Duration.ofSeconds(5);
+
+  private RelayRuns() {}
+
+  static HostRoute route(RequestKind kind, int maxServers, boolean resumable) {
+    return new HostRoute(
+        "r",
+        "h",
+        "/p/",
+        kind,
+        5000,
+        500,
+        1,
+        List.of(new Share(SERVICE, 1)),
+        maxServers,
+        true,
+        false,
+        resumable,
+        0);
+  }
+
+  private static GatewayServer server(int number) {
+    return Fixtures.server("s" + number, SERVICE);
+  }
+
+  static Flux<ResponsePart> run(ScriptedBackend backend, HostRoute route) {
+    return run(backend, route, LIMIT);
+  }
+
+  static Flux<ResponsePart> run(ScriptedBackend backend, HostRoute route, Duration limit) {
+    return run(backend, route, limit, 50);
+  }
+
+  static Flux<ResponsePart> run(
+      ScriptedBackend backend, HostRoute route, Duration limit, double retrySlack) {
+    return run(backend, admitted(route, limit, PromptShape.none()), retrySlack);
+  }
+
+  static Flux<ResponsePart> run(
+      ScriptedBackend backend, AdmittedRequest request, double retrySlack) {
+    return run(backend, request, retrySlack, new PlannedStop());
+  }
+
+  static Flux<ResponsePart> run(
+      ScriptedBackend backend, AdmittedRequest request, double retrySlack, PlannedStop stop) {
+    GatewayConfig config =
+        new GatewayConfig(
+            1,
+            List.of(request.route()),
+            List.of(new ServiceSpec(SERVICE, 8, Optional.empty(), Optional.empty())),
+            ClientLimits.defaults(),
+            List.of());
+    ServerPool pool = Fixtures.pool(System::nanoTime);
+    pool.configure(config);
+    pool.updateServers(List.of(server(1), server(2), server(3)));
+    Relay relay =
+        new Relay(
+            pool,
+            backend,
+            new GatewaySyncState(
+                Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
+            new CrashWatch(backend, System::nanoTime, Schedulers.parallel()),
+            new GatewayCounters(new MetricRegistry()),
+            () -> new RouteTable(config),
+            () -> 1,
+            new ServiceRetryAllowances(
+                new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
+            stop,
+            System::nanoTime,
+            Schedulers.parallel());
+    return relay.run(request, new byte[0]);
+  }
+
+  /** Returns a request that no server is too late for, however long the test takes to start. */
+  static AdmittedRequest admitted(HostRoute route, Duration limit, PromptShape prompt) {
+    return admitted(route, limit, prompt, START_SLACK);
+  }
+
+  static AdmittedRequest admitted(
+      HostRoute route, Duration limit, PromptShape prompt, Duration arrivesIn) {
+    RequestHead head = Fixtures.head("/p/x", Optional.empty(), prompt);
+    long now = System.nanoTime();
+    return new AdmittedRequest(
+        head,
+        route,
+        SERVICE,
+        Optional.of(new OrganisationId("o")),
+        1,
+        false,
+        now + arrivesIn.toNanos(),
+        now + limit.toNanos());
+  }
+
+  static String text(Flux<ResponsePart> parts) {
+    return parts
+        .map(
+            part ->
+                part instanceof ResponsePart.Head head
+                    ? head.status() + ":"
+                    : new String(((ResponsePart.Body) part).bytes(), StandardCharsets.UTF_8))
+        .reduce("", String::concat)
+        .block(LIMIT);
+  }
+
+  static Reason refusal(Flux<ResponsePart> parts) {
+    return parts
+        .then()
+        .<Reason>map(nothing -> Reason.INTERNAL)
+        .onErrorResume(GatewayRefusal.class, error -> Mono.just(error.reason()))
+        .block(LIMIT);
+  }
+}
