--- a/wire/src/test/java/org/endivemux/wire/http/ExchangeCodecTest.java
+++ b/wire/src/test/java/org/endivemux/wire/http/ExchangeCodecTest.java
@@ -23,20 +23,20 @@
 
 /** Tests which bytes of a server become the response to a request. */
 final class ExchangeCodecTest {
-  private static final String ID = "attempt-id";
+  private static final String ID = "request-id";
 
   /** Lists responses to an earlier request that may come a second time. */
   enum Copy {
-    WITH_LENGTH("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 30\r\n\r\n" + "x".repeat(30)),
+    WITH_LENGTH("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 30\r\n\r\n" + "x".repeat(30)),
     CHUNKED(
-        "HTTP/1.1 409 Conflict\r\nattempt-id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nHTTP/\r\n0\r\n\r\n"),
-    WITHOUT_LENGTH("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n\r\nThe rest of the connection"),
+        "HTTP/1.1 409 Conflict\r\nrequest-id: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nHTTP/\r\n0\r\n\r\n"),
+    WITHOUT_LENGTH("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nThe rest of the connection"),
     UNNAMED("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
-    WITHOUT_BODY("HTTP/1.1 204 No Content\r\nAttempt-Id: a\r\n\r\n"),
+    WITHOUT_BODY("HTTP/1.1 204 No Content\r\nRequest-Id: a\r\n\r\n"),
     SWITCH_OF_PROTOCOL("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"),
-    INTERIM("HTTP/1.1 103 Early Hints\r\nAttempt-Id: b\r\n\r\n"),
+    INTERIM("HTTP/1.1 103 Early Hints\r\nRequest-Id: b\r\n\r\n"),
     END_OF_A_BODY("\r\n0\r\n\r\n\r\n"),
-    HEADERS_ALONE("X-One: 1\r\nAttempt-Id: b\r\n\r\nX-Two: 2\r\n");
+    HEADERS_ALONE("X-One: 1\r\nRequest-Id: b\r\n\r\nX-Two: 2\r\n");
 
     private final String bytes;
 
@@ -133,7 +133,7 @@
   void responseToHeadHasNoBody() {
     Server server = new Server();
     server.channel.writeOutbound(request("a", HttpMethod.HEAD));
-    server.receive("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nContent-Length: 5\r\n\r\n");
+    server.receive("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 5\r\n\r\n");
     FullHttpResponse response = server.channel.readInbound();
     assertThat(response.content().isReadable()).isFalse();
     response.release();
@@ -159,7 +159,7 @@
     Server server = new Server();
     server.exchange("a", 200);
     server.send("b");
-    server.receive("HTTP/1.1 200 OK\r\nAttempt-Id: a\r\nAttempt-Id: b\r\n\r\n");
+    server.receive("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nRequest-Id: b\r\n\r\n");
     assertThat(server.channel.inboundMessages()).isEmpty();
     server.receive(response("b", 500));
     server.assertResponse("b", 500);
@@ -201,7 +201,7 @@
 
   private static String response(String id, int status) {
     String body = "answer to " + id;
-    return "HTTP/1.1 %d Status\r\nContent-Length: %d\r\nAttempt-Id: %s\r\n\r\n%s"
+    return "HTTP/1.1 %d Status\r\nContent-Length: %d\r\nRequest-Id: %s\r\n\r\n%s"
         .formatted(status, body.length(), id, body);
   }
 
