Directory: name entries in proportion to their capacity

Cause: callers use each address equally often, so an entry of 0.27 cores got as many of them as one of 0.9; the caller's failure domain was ignored. Change: settings cores and linkMbps, EntryInfo.capacity (optional for older processes), weighted rendezvous hashing in EntryAddresses.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -164,12 +164,17 @@
         settings.domain(),
         settings.callersAddress().orElseThrow(),
         settings.peerId().value(),
-        isReady());
+        isReady(),
+        settings.capacity());
   }
 
-  private List<String> addresses() {
+  private List<String> addresses(DirectoryEndpoint.Caller caller) {
     List<String> serving =
-        EntryAddresses.select(settings.peerId(), follower.entries(), MAX_NAMED_ENTRIES);
+        EntryAddresses.select(
+            settings.peerId(),
+            new EntryAddresses.Caller(caller.host(), caller.failureDomain()),
+            follower.entries(),
+            MAX_NAMED_ENTRIES);
     return serving.isEmpty() && isReady()
         ? List.of(settings.callersAddress().orElseThrow())
         : serving;
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.endivemux.model.EntryCapacity;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.VmId;
 
@@ -41,6 +42,9 @@
  *     that asks for it; bounds the loss when a server asks for far too long by mistake; 60 if
  *     absent
  * @param entriesLifetimeSeconds how long callers may cache the list of entries
+ * @param cores processor share of the VM, in cores; with {@code linkMbps} it determines which part
+ *     of the callers the entry gets
+ * @param linkMbps bandwidth of the VM's link, in Mbit/s
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
 public record GatewaySettings(
@@ -63,7 +67,9 @@
     double retrySlack,
     double drainSeconds,
     Optional<Double> maxServerPauseSeconds,
-    double entriesLifetimeSeconds) {
+    double entriesLifetimeSeconds,
+    Optional<Double> cores,
+    Optional<Double> linkMbps) {
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final ObjectMapper YAML = YAMLMapper.builder().addModule(new Jdk8Module()).build();
 
@@ -131,6 +137,11 @@
     return new FailureDomain(failureDomain);
   }
 
+  /** Returns the VM's capacity, if both of its figures are set. */
+  Optional<EntryCapacity> capacity() {
+    return cores.flatMap(share -> linkMbps.map(link -> new EntryCapacity(share, link)));
+  }
+
   Duration usageWindow() {
     return millis(usageWindowSeconds);
   }
--- a/routing/src/main/java/org/endivemux/routing/RendezvousHash.java
+++ b/routing/src/main/java/org/endivemux/routing/RendezvousHash.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Ranks nodes for a key by rendezvous hashing.
@@ -28,6 +29,29 @@
         .toList();
   }
 
+  /**
+   * Returns the nodes, the highest ranked one for {@code key} first; over many keys each node comes
+   * first in proportion to its weight.
+   *
+   * @param weight returns a positive number
+   */
+  public static <T> List<T> rankedByWeight(
+      String key, Collection<T> nodes, Function<T, String> name, ToDoubleFunction<T> weight) {
+    return nodes.stream()
+        .sorted(
+            Comparator.comparingDouble(
+                    (T node) ->
+                        weightedScore(score(key, name.apply(node)), weight.applyAsDouble(node)))
+                .thenComparing(name)
+                .reversed())
+        .toList();
+  }
+
+  private static double weightedScore(long score, double weight) {
+    double uniform = (score + 1.0) / (Long.MAX_VALUE + 2.0);
+    return -weight / Math.log(uniform);
+  }
+
   private static long score(String key, String node) {
     long mixed = (key.hashCode() * 31L + node.hashCode()) * FIRST_MULTIPLIER;
     mixed = (mixed ^ (mixed >>> 29)) * SECOND_MULTIPLIER;
--- a/routing/src/test/java/org/endivemux/routing/EntryAddressesTest.java
+++ b/routing/src/test/java/org/endivemux/routing/EntryAddressesTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -17,13 +18,15 @@
 final class EntryAddressesTest {
   private static final int ENTRIES = 91;
   private static final int LIMIT = 64;
+  private static final EntryAddresses.Caller NOWHERE =
+      new EntryAddresses.Caller("10.9.0.1", Optional.empty());
 
   @Example
   void everyEntryIsNamedByItsShareOfTheFleet() {
     List<EntryInfo> fleet = IntStream.range(0, ENTRIES).mapToObj(i -> entry(i, true)).toList();
     Map<String, Long> named =
         fleet.stream()
-            .flatMap(self -> EntryAddresses.select(self.vm(), fleet, LIMIT).stream())
+            .flatMap(self -> EntryAddresses.select(self.vm(), NOWHERE, fleet, LIMIT).stream())
             .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
     assertThat(named).hasSize(ENTRIES);
     assertThat(named.values()).allMatch(count -> count > LIMIT / 2 && count < ENTRIES);
@@ -32,7 +35,7 @@
   @Example
   void smallFleetIsNamedCompletelyExceptLeavingEntries() {
     List<EntryInfo> fleet = IntStream.range(0, 10).mapToObj(i -> entry(i, i != 3)).toList();
-    assertThat(EntryAddresses.select(new VmId("vm0"), fleet, LIMIT))
+    assertThat(EntryAddresses.select(new VmId("vm0"), NOWHERE, fleet, LIMIT))
         .hasSize(9)
         .doesNotContain("10.0.0.3:80");
   }
