Decide atomically whether an attempt is sent or abandoned

Cause: an attempt that failed counted as not sent if no byte had gone out by then, and nothing kept its request from being written later. A stream that allows one server ran on two engines within 188 ms. The suspected order (the pool's timer fails the acquisition while the event loop hands the connection over) was found by reading and was not reproduced.

Change: SendMarker makes one final decision. Relay and AttemptRunner abandon an attempt that failed, was cancelled or is refused as not run before they count it as not sent. The old method markSent is gone; test stand-ins call trySend in its place.

--- a/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
+++ b/entry/src/main/java/org/endivemux/entry/AttemptRunner.java
@@ -73,6 +73,7 @@
               return sender.send(assignment, attempt);
             })
         .doOnError(attempt::markFailed)
+        .doOnCancel(attempt.sendMarker()::tryAbandon)
         .doOnTerminate(() -> dispatcher.release(upstream.job().id(), attempt.observation(false)))
         .doOnCancel(() -> dispatcher.release(upstream.job().id(), attempt.observation(true)));
   }
@@ -105,7 +106,7 @@
     }
     FailedAttempt failed =
         new FailedAttempt(
-            attempt.sendMarker().mayHaveSent(), failureOf(error), attempt.deliveredPart());
+            !attempt.sendMarker().tryAbandon(), failureOf(error), attempt.deliveredPart());
     return RetryPolicy.reason(failed, upstream.job().repeatable());
   }
 
@@ -176,6 +177,7 @@
 
     private void markFailed(Throwable cause) {
       error = Optional.of(cause);
+      sendMarker.tryAbandon();
     }
 
     SendMarker sendMarker() {
--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -12,6 +12,7 @@
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
 import org.endivemux.wire.FirstByteTimeout;
+import org.endivemux.wire.SendGate;
 import org.endivemux.wire.SendMarker;
 import org.endivemux.wire.http.ExchangeCodec;
 import org.endivemux.wire.http.StrayBytes;
@@ -90,7 +91,7 @@
   <T> Flux<T> send(Call call, java.util.function.Function<Response, Flux<T>> reader) {
     HttpClient client = call.repeatable() ? pooled : unpooled;
     return client
-        .doOnRequest((request, connection) -> call.sendMarker().markSent())
+        .doOnRequest((request, connection) -> SendGate.check(call.sendMarker(), connection))
         .doAfterRequest(
             (request, connection) -> FirstByteTimeout.start(connection, limits.firstByte()))
         .doOnResponse((response, connection) -> FirstByteTimeout.end(connection))
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -14,9 +14,10 @@
 /**
  * Sends requests to backend servers.
  *
- * <p>Implementations are thread-safe and do not block, send each call at most once, close the
- * connection of a call that was cancelled or whose response was not read to its end, and fail when
- * a response belongs to another request or ends early.
+ * <p>Implementations are thread-safe and do not block, send each call at most once and only if its
+ * {@code sendMarker} allows it right before the first byte is written, close the connection of a
+ * call that was cancelled or whose response was not read to its end, and fail when a response
+ * belongs to another request or ends early.
  */
 public interface BackendPort {
   /** Sends a call and passes its response to a reader as soon as the head has arrived. */
--- a/gateway/src/main/java/org/endivemux/gateway/Progress.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Progress.java
@@ -46,9 +46,12 @@
     currentMarker = new SendMarker();
   }
 
-  /** Returns whether any attempt, including the current one, may have run or may still run. */
-  boolean mayHaveRun() {
-    return possibleRuns > 0 || currentMarker.mayHaveSent();
+  /**
+   * Ends the request: abandons the current attempt if it has not been sent, and returns whether any
+   * attempt may have run or may still run.
+   */
+  boolean endAndCheckMayHaveRun() {
+    return !currentMarker.tryAbandon() || possibleRuns > 0;
   }
 
   void retain(RetainedResponse response) {
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -32,7 +32,8 @@
  * Sends a request to a backend server, and to another one after a failure when that is safe.
  *
  * <p>Invariants: a request that must not be repeated is sent again only when the previous attempt
- * certainly did not run; a refusal states "not run" only when no attempt can have run; a resumed
+ * certainly did not run; an attempt counts as not sent only after it was abandoned, so that it can
+ * not be sent any more; a refusal states "not run" only when no attempt can have run; a resumed
  * stream continues after the last event that the caller has received. Thread-safe.
  */
 final class Relay {
@@ -179,6 +180,8 @@
     return backends
         .send(call, response -> reader.read(request, progress, binding, sentAt, response))
         .transform(parts -> withTimeouts(request, progress, binding, parts))
+        .doOnError(error -> marker.tryAbandon())
+        .doOnCancel(marker::tryAbandon)
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
         .doOnComplete(() -> crashes.completed(prompt))
         .doOnError(error -> pool.release(id, AttemptFailure.endOf(error)))
@@ -216,7 +219,7 @@
     }
     FailedAttempt failed =
         new FailedAttempt(
-            marker.mayHaveSent(), AttemptFailure.failureOf(error), progress.deliveredPart());
+            !marker.tryAbandon(), AttemptFailure.failureOf(error), progress.deliveredPart());
     if (failed.mayHaveRun()) {
       progress.recordPossibleRun();
     } else {
@@ -256,7 +259,7 @@
       return Flux.just(retained.head(), new ResponsePart.Body(retained.body()));
     }
     boolean timedOut = error instanceof TimeoutException;
-    if (progress.mayHaveRun()) {
+    if (progress.endAndCheckMayHaveRun()) {
       return Flux.error(
           new GatewayRefusal(timedOut ? Reason.BACKEND_TIMEOUT : Reason.BACKEND_FAILED));
     }
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTest.java
@@ -11,6 +11,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.endivemux.model.Reason;
@@ -18,6 +19,7 @@
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.routing.fleet.PromptPart;
 import org.endivemux.routing.fleet.PromptShape;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** Checks which requests are retried or refused and which responses are passed on. */
@@ -51,6 +53,41 @@
     assertThat(backend.calls).extracting(BackendPort.Call::server).doesNotHaveDuplicates();
   }
 
+  /** Guards against a sale that runs twice: its first attempt counts as not sent, then is sent. */
+  @Example
+  void attemptThatCountsAsNotSentCanNotBeSentLater() {
+    ScriptedBackend backend = new ScriptedBackend();
+    AtomicInteger runs = new AtomicInteger();
+    backend
+        .then(ScriptedBackend::unreachable)
+        .then(
+            call -> {
+              backend.calls.stream()
+                  .filter(each -> each.sendMarker().trySend())
+                  .forEach(each -> runs.incrementAndGet());
+              return ScriptedBackend.responds(200, false, "ok").apply(call);
+            });
+    assertThat(text(run(backend, route(RequestKind.NON_IDEMPOTENT, 1, false)))).isEqualTo("200:ok");
+    assertThat(runs).hasValue(1);
+  }
+
+  /** Guards against a send after the caller has been told that its request did not run. */
+  @Example
+  void attemptIsNotSentAfterItsRequestWasRefusedAsNotRun() {
+    ScriptedBackend backend = new ScriptedBackend().then(call -> Flux.never());
+    HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
+    assertThat(refusal(run(backend, route, Duration.ofMillis(300)))).isEqualTo(Reason.NOT_TAKEN);
+    assertThat(backend.calls.get(0).sendMarker().trySend()).isFalse();
+  }
+
+  /** Guards against a send for a caller that has left while its attempt was connecting. */
+  @Example
+  void attemptIsNotSentAfterItsCallerHasLeft() {
+    ScriptedBackend backend = new ScriptedBackend().then(call -> Flux.never());
+    run(backend, route(RequestKind.NON_IDEMPOTENT, 1, false)).subscribe().dispose();
+    assertThat(backend.calls.get(0).sendMarker().trySend()).isFalse();
+  }
+
   @Example
   void nonIdempotentRequestThatNoServerAcceptsIsRefusedAsNotRun() {
     ScriptedBackend backend = new ScriptedBackend();
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTimeTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTimeTest.java
@@ -36,7 +36,7 @@
         new ScriptedBackend()
             .then(
                 call -> {
-                  call.sendMarker().markSent();
+                  call.sendMarker().trySend();
                   return Flux.never();
                 });
     HostRoute route = route(RequestKind.NON_IDEMPOTENT, 1, false);
@@ -60,7 +60,7 @@
     return new ScriptedBackend()
         .then(
             call -> {
-              call.sendMarker().markSent();
+              call.sendMarker().trySend();
               return Mono.delay(Duration.ofMillis(millis))
                   .flatMapMany(tick -> responds(200, false, "late").apply(call));
             });
--- a/gateway/src/test/java/org/endivemux/gateway/ScriptedBackend.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ScriptedBackend.java
@@ -38,14 +38,14 @@
 
   static Function<Call, Flux<Response>> responds(int status, boolean notRun, String... chunks) {
     return call -> {
-      call.sendMarker().markSent();
+      call.sendMarker().trySend();
       return Flux.just(response(status, notRun, bytes(chunks)));
     };
   }
 
   static Function<Call, Flux<Response>> breaksAfter(String... chunks) {
     return call -> {
-      call.sendMarker().markSent();
+      call.sendMarker().trySend();
       return Flux.just(
           response(200, false, bytes(chunks).concatWith(Flux.error(new IllegalStateException()))));
     };
@@ -56,7 +56,7 @@
   }
 
   static Flux<Response> connectionReset(Call call) {
-    call.sendMarker().markSent();
+    call.sendMarker().trySend();
     return Flux.error(new IllegalStateException("reset"));
   }
 
