Date requests back and read pending closes after a stall of the event loop

Cause: the kernel accepts connections and holds requests and closes while the event loop does not run (JVM start on 0.12 of a core, SIGSTOP, a blocking task). The entry took the time of reading for the time of arrival, and sent requests before it read the closes behind them.

Change: EventLoopStall ticks on the loop from right before the callers' port opens. A request read during or up to 100 ms after a stall of over 200 ms is dated back to the last tick, which shortens its deadline and the time given to the engine. A request whose caller must have left by then is refused as TOO_LATE with a Retry-After, before the queue, after it and before each retry. After a stall each send first waits for three delays on the loop, so that pending reads and closes come first. An attempt whose connection became ready after a further stall is held back, its slot is freed without blame for the server, and the retry waits again.

Not run: integration tests, a process under SIGSTOP, a start at 0.12 of a core.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -15,6 +15,7 @@
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.gateway.CrashWatch;
 import org.endivemux.gateway.DirectListing;
+import org.endivemux.gateway.EventLoopStall;
 import org.endivemux.gateway.Gateway;
 import org.endivemux.gateway.GatewayCounters;
 import org.endivemux.gateway.PlannedStop;
@@ -76,6 +77,7 @@
   private final DigestExchange digests;
   private final ServerPool pool;
   private final DirectListing listing;
+  private final EventLoopStall stall;
   private final LoopResources loop;
   private final PlannedStop plannedStop = new PlannedStop();
 
@@ -111,6 +113,8 @@
     syncState.onFleetLoad(pool::updateFleetLoad);
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), syncState, clocks);
+    this.stall = new EventLoopStall(clocks::nanos, timers);
+    metrics.register("loop.stalls", (Gauge<Long>) stall::count);
     this.gateway =
         new Gateway(
             follower,
@@ -128,6 +132,7 @@
                 this::entryCount,
                 clocks::nanos),
             plannedStop,
+            stall,
             clocks::nanos,
             timers);
     this.callers = new CallerEndpoint(gateway, counters, plannedStop);
@@ -180,6 +185,7 @@
   }
 
   void start() {
+    stall.start();
     callers.start(GatewaySettings.address(settings.callersAddress().orElseThrow()), loop);
     settings
         .directoryAddress()
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -36,6 +36,7 @@
   private final ServerPool pool;
   private final GatewayCounters counters;
   private final LongSupplier nanos;
+  private final EventLoopStall stall;
   private final CrashWatch crashes;
   private final Relay relay;
   private final PromptSizes promptSizes = new PromptSizes();
@@ -51,12 +52,14 @@
       IntSupplier entries,
       ServiceRetryAllowances retries,
       PlannedStop stop,
+      EventLoopStall stall,
       LongSupplier nanos,
       Scheduler timers) {
     this.follower = follower;
     this.pool = pool;
     this.counters = counters;
     this.nanos = nanos;
+    this.stall = stall;
     this.crashes = crashes;
     this.relay =
         new Relay(
@@ -69,6 +72,7 @@
             entries,
             retries,
             stop,
+            stall,
             nanos,
             timers);
     follower.onChange(this::viewChanged);
@@ -140,7 +144,7 @@
 
   private AdmittedRequest admitted(
       RequestHead head, HostRoute route, Optional<OrganisationKeys> organisation) {
-    long now = nanos.getAsLong();
+    long arrivedAt = stall.earliestArrival();
     OptionalInt ownPriority =
         organisation.map(OrganisationKeys::priority).orElse(OptionalInt.empty());
     OptionalLong maxWait = head.maxWaitMillis();
@@ -152,8 +156,8 @@
         organisation.map(OrganisationKeys::organisation),
         ownPriority.orElse(route.priority()),
         isLong(head, route),
-        now,
-        now + millis * NANOS_PER_MILLI);
+        arrivedAt,
+        arrivedAt + millis * NANOS_PER_MILLI);
   }
 
   private boolean isLong(RequestHead head, HostRoute route) {
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -10,6 +10,7 @@
 import java.util.function.Supplier;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.gateway.BackendPort.Call;
+import org.endivemux.gateway.EventLoopStall.SendCheck;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.RetryReason;
@@ -72,6 +73,7 @@
   private final IntSupplier entries;
   private final ServiceRetryAllowances retries;
   private final PlannedStop stop;
+  private final EventLoopStall stall;
   private final LongSupplier nanos;
   private final Scheduler timers;
   private final AtomicLong attemptIds = new AtomicLong();
@@ -86,6 +88,7 @@
       IntSupplier entries,
       ServiceRetryAllowances retries,
       PlannedStop stop,
+      EventLoopStall stall,
       LongSupplier nanos,
       Scheduler timers) {
     this.pool = pool;
@@ -97,6 +100,7 @@
     this.entries = entries;
     this.retries = retries;
     this.stop = stop;
+    this.stall = stall;
     this.nanos = nanos;
     this.timers = timers;
   }
@@ -116,14 +120,34 @@
   private Flux<ResponsePart> attempt(AdmittedRequest request, byte[] body, Progress progress) {
     return Flux.defer(
         () -> {
+          if (isTooLate(request, progress)) {
+            return Flux.error(tooLate(request));
+          }
           FleetJob job = job(request, progress);
-          SendMarker marker = new SendMarker();
+          SendCheck check = stall.newSendCheck();
+          SendMarker marker = new SendMarker(check::isSteady);
           return pool.acquire(job)
+              .delayUntil(binding -> pendingReads(check, job))
               .flatMapMany(binding -> send(request, body, progress, binding, marker))
               .onErrorResume(error -> retryOrFail(request, body, progress, marker, error));
         });
   }
 
+  /** Waits until a close of the caller's connection that was pending has been read. */
+  private Mono<Void> pendingReads(SendCheck check, FleetJob job) {
+    return check.pendingReads().doOnCancel(() -> pool.release(job.id(), AttemptResult.CANCELLED));
+  }
+
+  private boolean isTooLate(AdmittedRequest request, Progress progress) {
+    long end = progress.headDelivered() ? request.deadline() : request.callerLeavesAt();
+    return end - nanos.getAsLong() <= MIN_TIME_LEFT_NANOS;
+  }
+
+  private static GatewayRefusal tooLate(AdmittedRequest request) {
+    RequestId id = new RequestId(request.head().id());
+    return new GatewayRefusal(Reason.TOO_LATE, ServerPool.retryAfterMillis(id));
+  }
+
   private FleetJob job(AdmittedRequest request, Progress progress) {
     HostRoute route = request.route();
     long target = route.targetMillis() * NANOS_PER_MILLI;
@@ -150,6 +174,10 @@
       pool.release(id, AttemptResult.CANCELLED);
       return Flux.error(GatewayRefusal.draining());
     }
+    if (isTooLate(request, progress)) {
+      pool.release(id, AttemptResult.CANCELLED);
+      return Flux.error(tooLate(request));
+    }
     if (crashes.isHeldBack(prompt)) {
       pool.release(id, AttemptResult.CANCELLED);
       return Flux.error(GatewayRefusal.of(Reason.PROMPT_QUARANTINED));
@@ -184,11 +212,15 @@
         .doOnCancel(marker::tryAbandon)
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
         .doOnComplete(() -> crashes.completed(prompt))
-        .doOnError(error -> pool.release(id, AttemptFailure.endOf(error)))
+        .doOnError(error -> pool.release(id, endOf(marker, error)))
         .doOnError(error -> crashes.failed(binding.server(), prompt, marker, error))
         .doOnCancel(() -> pool.release(id, AttemptResult.CANCELLED));
   }
 
+  private static AttemptResult endOf(SendMarker marker, Throwable error) {
+    return marker.isHeldBack() ? AttemptResult.CANCELLED : AttemptFailure.endOf(error);
+  }
+
   private int maxConnections(ServiceName service) {
     int declared = table.get().service(service).map(ServiceSpec::maxConnections).orElse(1);
     return Math.max(1, declared / Math.max(1, entries.getAsInt()));
--- a/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
@@ -108,6 +108,7 @@
         new ServiceRetryAllowances(
             new ServiceRetryAllowances.Limits(0.2, 10, 50), () -> 1, nanos::get),
         new PlannedStop(),
+        new EventLoopStall(nanos::get, Schedulers.parallel()),
         nanos::get,
         Schedulers.parallel());
   }
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -96,6 +96,7 @@
             new ServiceRetryAllowances(
                 new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
             stop,
+            new EventLoopStall(System::nanoTime, Schedulers.parallel()),
             System::nanoTime,
             Schedulers.parallel());
     return relay.run(request, new byte[0]);
--- a/gateway/src/test/java/org/endivemux/gateway/RelayTimeTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayTimeTest.java
@@ -30,6 +30,16 @@
     assertThat(refusal(run(backend, route, Duration.ofMillis(300)))).isEqualTo(Reason.NOT_TAKEN);
   }
 
+  /** Guards against a stream that runs for a caller that gave up while the entry was stalled. */
+  @Example
+  void streamIsNotSentWhenItsCallerMustHaveGivenUp() {
+    HostRoute route = route(RequestKind.STREAM, 1, false);
+    AdmittedRequest request = admitted(route, LIMIT, PromptShape.none(), Duration.ofSeconds(-25));
+    ScriptedBackend backend = new ScriptedBackend().then(responds(200, false, "late"));
+    assertThat(refusal(run(backend, request, 50))).isEqualTo(Reason.TOO_LATE);
+    assertThat(backend.calls).isEmpty();
+  }
+
   @Example
   void nonIdempotentRequestThatTimesOutMayHaveRun() {
     ScriptedBackend backend =
