Orders to evacuate a failure domain are replicated and acknowledged in force

Cause: operators evacuate failure domains (docs/design/hard-load.md, part 3); no order for it existed.

GatewayConfigWriter becomes OrderWriter and serves both kinds of orders. An order that changes nothing gets the revision of the order that did, so that a resend is not acknowledged earlier than the first one could be. Calls on the operators' endpoint, on the product's own interface and on the command line. Entries of the own interface treat servers of evacuated domains as leaving.

The own interface and the command line have no test of their own yet.

--- a/cli/src/main/java/org/endivemux/cli/CliMain.java
+++ b/cli/src/main/java/org/endivemux/cli/CliMain.java
@@ -19,6 +19,10 @@
 public final class CliMain {
   private static final List<String> COMMAND_OPTIONS =
       List.of("id", "organisation", "role", "label");
+
+  /** Options without a value. */
+  private static final List<String> FLAGS = List.of("end");
+
   private static final List<String> OUTPUT_FORMATS = List.of("table", "json");
 
   private CliMain() {}
@@ -45,6 +49,7 @@
     parser.accepts("servers", "VMs to try in turn").withRequiredArg();
     parser.accepts("key-file", "file that contains the key").withRequiredArg();
     parser.accepts("output", "table or json").withRequiredArg().defaultsTo("table");
+    FLAGS.forEach(parser::accepts);
     COMMAND_OPTIONS.forEach(name -> parser.accepts(name).withRequiredArg());
     return parser;
   }
@@ -70,9 +75,11 @@
   }
 
   private static Map<String, String> commandOptions(OptionSet options) {
-    return COMMAND_OPTIONS.stream()
+    return Stream.concat(COMMAND_OPTIONS.stream(), FLAGS.stream())
         .filter(options::has)
-        .collect(Collectors.toMap(name -> name, name -> (String) options.valueOf(name)));
+        .collect(
+            Collectors.toMap(
+                name -> name, name -> FLAGS.contains(name) ? "" : (String) options.valueOf(name)));
   }
 
   private static Command find(List<String> words) {
--- a/cli/src/main/java/org/endivemux/cli/Command.java
+++ b/cli/src/main/java/org/endivemux/cli/Command.java
@@ -39,6 +39,10 @@
       return options.getOrDefault(name, defaultValue);
     }
 
+    boolean has(String name) {
+      return options.containsKey(name);
+    }
+
     String required(String name) {
       if (!options.containsKey(name)) {
         throw new CliException(ExitStatus.USAGE, "Add --" + name + "; see --help.");
--- a/cli/src/main/java/org/endivemux/cli/Commands.java
+++ b/cli/src/main/java/org/endivemux/cli/Commands.java
@@ -102,6 +102,12 @@
             "Resumes sending requests to backend servers.",
             "endivemux backend return engine-3",
             (session, args) -> setLeaving(session, args, false)),
+        remoteCommand(
+            "evacuate",
+            "[--end] DOMAIN",
+            "Stops sending new requests to a failure domain, or resumes it with --end.",
+            "endivemux evacuate dc-2",
+            Commands::evacuate),
         remoteCommand(
             "usage",
             "",
@@ -201,6 +207,12 @@
         "/v1/backends/leaving", Map.of("ids", arguments.words(), "leaving", leaving));
   }
 
+  private static JsonNode evacuate(Session session, Command.Arguments arguments) {
+    String domain = arguments.word(0, "failure domain");
+    String path = "/v1/failure-domains/" + domain + "/evacuation";
+    return arguments.has("end") ? session.delete(path) : session.post(path, Map.of());
+  }
+
   private static JsonNode drain(Session session, Command.Arguments arguments) {
     String vm = arguments.word(0, "VM");
     String address =
--- a/control/src/main/java/org/endivemux/control/client/GatewayConfigWriter.java
+++ b/control/src/main/java/org/endivemux/control/client/OrderWriter.java
@@ -9,12 +9,13 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Writes configurations of the gateway for an operator.
+ * Writes an operator's orders: configurations of the gateway and evacuations of failure domains.
  *
- * <p>Invariant: a write completes only when the configuration, or a newer one, is committed and in
- * force at every entry that is in contact with the leader. Thread-safe.
+ * <p>Invariant: a write completes only when the order, or a newer one of its kind, is committed and
+ * in force at every entry that is in contact with the leader. An order that is written again waits
+ * for the same revision as the first time or a later one. Thread-safe.
  */
-public final class GatewayConfigWriter {
+public final class OrderWriter {
   /** Part of the limit that is left for the leader's statement which entries lack a change. */
   private static final Duration REPLY_TIME = Duration.ofMillis(300);
 
@@ -22,19 +23,21 @@
   private final Duration limit;
 
   /**
-   * @param limit maximum time to commit a configuration, and then to see it in force; longer than
-   *     {@link #REPLY_TIME}
+   * @param limit maximum time to commit an order, and then to see it in force; longer than {@link
+   *     #REPLY_TIME}
    */
-  public GatewayConfigWriter(ControlClient control, Duration limit) {
+  public OrderWriter(ControlClient control, Duration limit) {
     this.control = control;
     this.limit = limit;
   }
 
   /**
-   * Writes a configuration; completes when it may be acknowledged, and fails with {@link
-   * ControlException} when that is not known within the limit.
+   * Writes an order; completes when it may be acknowledged, and fails with {@link ControlException}
+   * when that is not known within the limit.
+   *
+   * @param command one that results in {@link CommandResult.Stored}
    */
-  public Mono<Void> write(Command.PutGatewayConfig command) {
+  public Mono<Void> write(Command command) {
     return control
         .ask(new ControlRequest.Submit(command), limit)
         .map(reply -> ((ControlReply.SubmitReply) reply).result())
@@ -42,14 +45,14 @@
   }
 
   private Mono<Void> awaitInForce(CommandResult result) {
-    if (!(result instanceof CommandResult.GatewayConfigStored stored)) {
+    if (!(result instanceof CommandResult.Stored stored)) {
       return Mono.error(new ControlException("The change was not committed."));
     }
     long awaitMillis = limit.minus(REPLY_TIME).toMillis();
     return control
         .ask(new ControlRequest.AwaitInForce(stored.revision(), awaitMillis), limit)
         .cast(ControlReply.InForce.class)
-        .flatMap(GatewayConfigWriter::checkInForce);
+        .flatMap(OrderWriter::checkInForce);
   }
 
   private static Mono<Void> checkInForce(ControlReply.InForce reply) {
--- a/control/src/main/java/org/endivemux/control/state/Command.java
+++ b/control/src/main/java/org/endivemux/control/state/Command.java
@@ -49,7 +49,9 @@
   @JsonSubTypes.Type(value = Command.MarkReported.class, name = "reported"),
   @JsonSubTypes.Type(value = Command.PutGatewayConfig.class, name = "gateway"),
   @JsonSubTypes.Type(value = Command.FinaliseWindow.class, name = "fix"),
-  @JsonSubTypes.Type(value = Command.MarkWindowSent.class, name = "sent")
+  @JsonSubTypes.Type(value = Command.MarkWindowSent.class, name = "sent"),
+  @JsonSubTypes.Type(value = Command.StartEvacuation.class, name = "evacuate"),
+  @JsonSubTypes.Type(value = Command.EndEvacuation.class, name = "return")
 })
 public sealed interface Command {
   /**
@@ -143,6 +145,15 @@
   /** Records that the platform has accepted the report of a final window. */
   record MarkWindowSent(long window) implements Command {}
 
+  /**
+   * Evacuates a failure domain: its backend servers get no new requests. Has no effect while the
+   * domain is evacuated.
+   */
+  record StartEvacuation(FailureDomain failureDomain) implements Command {}
+
+  /** Ends the evacuation of a failure domain; has no effect unless it is evacuated. */
+  record EndEvacuation(FailureDomain failureDomain) implements Command {}
+
   /**
    * A command with the leader's wall-clock time in Unix milliseconds. Every replica uses this time
    * to expire state, so that all replicas expire the same state at the same log index.
--- a/control/src/main/java/org/endivemux/control/state/CommandResult.java
+++ b/control/src/main/java/org/endivemux/control/state/CommandResult.java
@@ -13,6 +13,7 @@
   @JsonSubTypes.Type(value = CommandResult.Done.class, name = "done"),
   @JsonSubTypes.Type(value = CommandResult.Refused.class, name = "refused"),
   @JsonSubTypes.Type(value = CommandResult.GatewayConfigStored.class, name = "stored"),
+  @JsonSubTypes.Type(value = CommandResult.EvacuationStored.class, name = "evacuation"),
   @JsonSubTypes.Type(value = CommandResult.Planned.class, name = "planned"),
   @JsonSubTypes.Type(value = CommandResult.Confirmed.class, name = "confirmed"),
   @JsonSubTypes.Type(value = CommandResult.ClaimGranted.class, name = "granted"),
@@ -22,12 +23,25 @@
   /** The command has taken effect, now or when it was applied earlier. */
   record Done() implements CommandResult {}
 
+  /** An order of an operator that entries carry out is stored, or a newer one of its kind is. */
+  sealed interface Stored extends CommandResult {
+    /** Returns the revision from which the views of entries hold the order or a newer one. */
+    long revision();
+  }
+
   /**
    * The configuration of the gateway is stored, or a newer one is.
    *
    * @param revision revision from which the views of entries hold it or a newer one
    */
-  record GatewayConfigStored(long revision) implements CommandResult {}
+  record GatewayConfigStored(long revision) implements Stored {}
+
+  /**
+   * A failure domain is evacuated, or is no longer, now or since the order was applied earlier.
+   *
+   * @param revision revision from which the views of entries hold this
+   */
+  record EvacuationStored(long revision) implements Stored {}
 
   /** The command was refused and changed nothing. */
   record Refused(Reason reason, String detail) implements CommandResult {}
--- a/control/src/main/java/org/endivemux/control/state/ControlState.java
+++ b/control/src/main/java/org/endivemux/control/state/ControlState.java
@@ -1,7 +1,6 @@
 package org.endivemux.control.state;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashSet;
@@ -14,6 +13,7 @@
 import org.endivemux.control.state.EntryView.NumberedChange;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.Bytes;
+import org.endivemux.model.FailureDomain;
 import org.endivemux.model.IdempotencyKey;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyInfo;
@@ -43,6 +43,7 @@
   private final Orders orders = new Orders();
   private final WindowReports windowReports = new WindowReports();
   private final GatewayConfigHistory gateway = new GatewayConfigHistory();
+  private final Evacuations evacuations = new Evacuations();
   private final Set<BackendServerId> leaving = new HashSet<>();
   private final Deque<NumberedChange> changes = new ArrayDeque<>();
   private EntryView view = EntryView.empty();
@@ -100,6 +101,10 @@
       return windowReports.finalise(it);
     } else if (command instanceof Command.MarkWindowSent it) {
       return windowReports.markSent(it);
+    } else if (command instanceof Command.StartEvacuation it) {
+      return evacuate(index, it.failureDomain(), true);
+    } else if (command instanceof Command.EndEvacuation it) {
+      return evacuate(index, it.failureDomain(), false);
     }
     return orders.close((Command.CloseOrder) command);
   }
@@ -109,6 +114,11 @@
     return new CommandResult.GatewayConfigStored(gateway.revision());
   }
 
+  private CommandResult evacuate(long index, FailureDomain domain, boolean evacuated) {
+    evacuations.order(index, domain, evacuated).ifPresent(change -> publish(index, change));
+    return new CommandResult.EvacuationStored(evacuations.revisionOf(domain));
+  }
+
   private CommandResult confirm(long index, Command.ConfirmPlan command) {
     long before = plans.version();
     CommandResult result = plans.confirm(command, index);
@@ -228,8 +238,8 @@
 
   /** Returns the whole state, serialised. */
   public Bytes save() {
-    Saved saved =
-        new Saved(
+    ControlSnapshot saved =
+        new ControlSnapshot(
             nowMillis,
             view.revision(),
             plans.save(),
@@ -239,14 +249,17 @@
             orders.all(),
             List.copyOf(leaving),
             gateway.save(),
-            windowReports.save());
+            windowReports.save(),
+            evacuations.save());
     return Bytes.of(MessagePackCodec.encode(saved));
   }
 
   /** Replaces the whole state; empty bytes stand for the state before any command. */
   public void restore(Bytes bytes) {
-    Saved saved =
-        bytes.size() == 0 ? Saved.initial() : MessagePackCodec.decode(bytes.toArray(), Saved.class);
+    ControlSnapshot saved =
+        bytes.size() == 0
+            ? ControlSnapshot.initial()
+            : MessagePackCodec.decode(bytes.toArray(), ControlSnapshot.class);
     nowMillis = saved.nowMillis();
     plans.restore(saved.plans());
     keys.restore(saved.keys());
@@ -255,6 +268,7 @@
     orders.restore(saved.orders());
     gateway.restore(saved.gateway());
     windowReports.restore(saved.windowReports());
+    evacuations.restore(saved.evacuations());
     leaving.clear();
     leaving.addAll(saved.leaving());
     changes.clear();
@@ -266,34 +280,8 @@
                 plans.version(),
                 plans.declaration(),
                 keys.all(),
-                new HashSet<>(leaving)));
+                new HashSet<>(leaving),
+                evacuations.domains()));
     gateway.changeSince(0).ifPresent(whole -> view = view.apply(saved.revision(), whole.change()));
   }
-
-  /** The whole state for a snapshot. Immutable and thread-safe. */
-  private record Saved(
-      long nowMillis,
-      long revision,
-      Plans.Saved plans,
-      Map<KeyDigest, KeyInfo> keys,
-      List<Claim> claims,
-      Usage.Saved usage,
-      List<Order> orders,
-      List<BackendServerId> leaving,
-      GatewayConfigHistory.Saved gateway,
-      WindowReports.Saved windowReports) {
-    static Saved initial() {
-      return new Saved(
-          0,
-          0,
-          Plans.Saved.initial(),
-          Map.of(),
-          List.of(),
-          Usage.Saved.initial(),
-          List.of(),
-          new ArrayList<>(),
-          GatewayConfigHistory.Saved.none(),
-          WindowReports.Saved.initial());
-    }
-  }
 }
--- a/control/src/main/java/org/endivemux/control/state/EntryView.java
+++ b/control/src/main/java/org/endivemux/control/state/EntryView.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.Declaration;
+import org.endivemux.model.FailureDomain;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyInfo;
 import org.endivemux.model.gateway.GatewayConfig;
@@ -25,6 +26,7 @@
   private final Declaration declaration;
   private final HashMap<KeyDigest, KeyInfo> keys;
   private final HashSet<BackendServerId> leaving;
+  private final HashSet<FailureDomain> evacuated;
   private final Lazy<GatewayConfig> gateway;
 
   private EntryView(
@@ -33,19 +35,27 @@
       Declaration declaration,
       HashMap<KeyDigest, KeyInfo> keys,
       HashSet<BackendServerId> leaving,
+      HashSet<FailureDomain> evacuated,
       Lazy<GatewayConfig> gateway) {
     this.revision = revision;
     this.version = version;
     this.declaration = declaration;
     this.keys = keys;
     this.leaving = leaving;
+    this.evacuated = evacuated;
     this.gateway = gateway;
   }
 
   /** Returns the view before any change. */
   public static EntryView empty() {
     return new EntryView(
-        0, 0, Declaration.empty(), HashMap.empty(), HashSet.empty(), Lazy.of(GatewayConfig::none));
+        0,
+        0,
+        Declaration.empty(),
+        HashMap.empty(),
+        HashSet.empty(),
+        HashSet.empty(),
+        Lazy.of(GatewayConfig::none));
   }
 
   /** Returns the view with the saved content and without a configuration of the gateway. */
@@ -56,6 +66,7 @@
         saved.declaration(),
         HashMap.ofAll(saved.keys()),
         HashSet.ofAll(saved.leaving()),
+        HashSet.ofAll(saved.evacuated()),
         Lazy.of(GatewayConfig::none));
   }
 
@@ -63,19 +74,25 @@
   public EntryView apply(long newRevision, ViewChange change) {
     if (change instanceof ViewChange.Configured it) {
       Declaration changed = it.delta().applyTo(declaration);
-      return new EntryView(newRevision, it.version(), changed, keys, leaving, gateway);
+      return new EntryView(newRevision, it.version(), changed, keys, leaving, evacuated, gateway);
     }
     if (change instanceof ViewChange.KeyChanged it) {
       var changed = keys.put(it.digest(), it.info());
-      return new EntryView(newRevision, version, declaration, changed, leaving, gateway);
+      return new EntryView(newRevision, version, declaration, changed, leaving, evacuated, gateway);
     }
     if (change instanceof ViewChange.GatewayConfigured it) {
-      return new EntryView(newRevision, version, declaration, keys, leaving, updated(it));
+      return new EntryView(
+          newRevision, version, declaration, keys, leaving, evacuated, updated(it));
+    }
+    if (change instanceof ViewChange.EvacuationChanged it) {
+      var changed =
+          it.evacuated() ? evacuated.add(it.failureDomain()) : evacuated.remove(it.failureDomain());
+      return new EntryView(newRevision, version, declaration, keys, leaving, changed, gateway);
     }
     ViewChange.LeavingChanged it = (ViewChange.LeavingChanged) change;
     var changed =
         it.leaving() ? leaving.add(it.backendServer()) : leaving.remove(it.backendServer());
-    return new EntryView(newRevision, version, declaration, keys, changed, gateway);
+    return new EntryView(newRevision, version, declaration, keys, changed, evacuated, gateway);
   }
 
   /** A whole configuration is decoded on first use, since most voters never need it. */
@@ -119,6 +136,11 @@
     return leaving.contains(id);
   }
 
+  /** Returns the failure domains whose backend servers get no new requests. */
+  public Set<FailureDomain> evacuated() {
+    return evacuated.toJavaSet();
+  }
+
   /** Returns the gateway configuration in force. */
   public GatewayConfig gateway() {
     return gateway.get();
@@ -126,7 +148,13 @@
 
   /** Returns the content except for the gateway's configuration, to be sent to an entry. */
   public Saved save() {
-    return new Saved(revision, version, declaration, keys.toJavaMap(), leaving.toJavaSet());
+    return new Saved(
+        revision,
+        version,
+        declaration,
+        keys.toJavaMap(),
+        leaving.toJavaSet(),
+        evacuated.toJavaSet());
   }
 
   /**
@@ -138,7 +166,13 @@
       long version,
       Declaration declaration,
       Map<KeyDigest, KeyInfo> keys,
-      Set<BackendServerId> leaving) {}
+      Set<BackendServerId> leaving,
+      Set<FailureDomain> evacuated) {
+    public Saved {
+      // A leader of an earlier version sends none.
+      evacuated = evacuated == null ? Set.of() : evacuated;
+    }
+  }
 
   /** A change with its revision. Immutable and thread-safe. */
   public record NumberedChange(long revision, ViewChange change) {}
--- a/control/src/main/java/org/endivemux/control/state/ViewChange.java
+++ b/control/src/main/java/org/endivemux/control/state/ViewChange.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.model.FailureDomain;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyInfo;
 import org.endivemux.model.gateway.GatewayConfigUpdate;
@@ -14,7 +15,8 @@
   @JsonSubTypes.Type(value = ViewChange.Configured.class, name = "c"),
   @JsonSubTypes.Type(value = ViewChange.KeyChanged.class, name = "k"),
   @JsonSubTypes.Type(value = ViewChange.LeavingChanged.class, name = "l"),
-  @JsonSubTypes.Type(value = ViewChange.GatewayConfigured.class, name = "g")
+  @JsonSubTypes.Type(value = ViewChange.GatewayConfigured.class, name = "g"),
+  @JsonSubTypes.Type(value = ViewChange.EvacuationChanged.class, name = "e")
 })
 public sealed interface ViewChange {
   record Configured(long version, DeclarationDelta delta) implements ViewChange {}
@@ -30,4 +32,7 @@
   record GatewayConfigured(long base, Packed update) implements ViewChange {}
 
   record LeavingChanged(BackendServerId backendServer, boolean leaving) implements ViewChange {}
+
+  /** Starts or ends an evacuation; readers of earlier builds do not know this change. */
+  record EvacuationChanged(FailureDomain failureDomain, boolean evacuated) implements ViewChange {}
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -14,6 +14,7 @@
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.ControlState;
 import org.endivemux.model.EntryInfo;
+import org.endivemux.model.FailureDomain;
 import org.endivemux.model.Incarnation;
 import org.endivemux.model.VmId;
 import org.endivemux.model.crash.PartVerdicts;
@@ -122,9 +123,20 @@
       logger.atInfo().log(
           "event=config_committed version=%d revision=%d behind=%s",
           it.version(), revision, registry.entriesBehind(revision, clocks.nanos()));
+    } else if (command instanceof Command.StartEvacuation it) {
+      logEvacuation(it.failureDomain(), true);
+    } else if (command instanceof Command.EndEvacuation it) {
+      logEvacuation(it.failureDomain(), false);
     }
   }
 
+  private void logEvacuation(FailureDomain domain, boolean evacuated) {
+    long revision = voter.publishedRevision();
+    logger.atInfo().log(
+        "event=evacuation_committed domain=%s evacuated=%s revision=%d behind=%s",
+        domain, evacuated, revision, registry.entriesBehind(revision, clocks.nanos()));
+  }
+
   private Mono<ControlReply> read(java.util.function.Function<ControlState, ControlReply> query) {
     return mono(() -> voter.read(query)).map(this::ifStillLeader);
   }
--- a/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
+++ b/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
@@ -13,8 +13,8 @@
 import org.endivemux.consensus.Role;
 import org.endivemux.consensus.Timing;
 import org.endivemux.control.client.ControlClient;
-import org.endivemux.control.client.GatewayConfigWriter;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.client.OrderWriter;
 import org.endivemux.control.client.UsageLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.control.message.ControlReply;
@@ -142,7 +142,7 @@
         new ControlClient(vm -> ControlClient.local(service::handle), List.of(LEADER));
     long sentAt = nanos();
     var unused =
-        new GatewayConfigWriter(control, WRITE_LIMIT)
+        new OrderWriter(control, WRITE_LIMIT)
             .write(Command.PutGatewayConfig.of(load.config(version), new byte[10]))
             .timeout(OPERATOR_LIMIT)
             .retryWhen(
--- a/entry/src/main/java/org/endivemux/entry/Entry.java
+++ b/entry/src/main/java/org/endivemux/entry/Entry.java
@@ -6,11 +6,15 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.endivemux.control.client.ControlClient;
 import org.endivemux.control.client.UsageLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.control.state.EntryView;
 import org.endivemux.control.voter.Clocks;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.Declaration;
 import org.endivemux.model.DeclarationIndex;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.Incarnation;
@@ -111,7 +115,12 @@
       declared = new DeclarationIndex(view.declaration());
       logger.atInfo().log("event=configured version=%d", view.version());
     }
-    dispatcher.configure(declared, view::isLeaving);
+    Set<BackendServerId> evacuated =
+        view.declaration().backendServers().stream()
+            .filter(server -> view.evacuated().contains(server.failureDomain()))
+            .map(Declaration.BackendServer::id)
+            .collect(Collectors.toSet());
+    dispatcher.configure(declared, id -> view.isLeaving(id) || evacuated.contains(id));
     inFlight.endWithdrawn(authenticator);
   }
 
--- a/entry/src/main/java/org/endivemux/entry/EntryServer.java
+++ b/entry/src/main/java/org/endivemux/entry/EntryServer.java
@@ -27,6 +27,8 @@
  */
 public final class EntryServer {
   private static final String PLANS = "/v1/plans";
+  private static final String DOMAINS = "/v1/failure-domains/";
+  private static final String EVACUATION = "/evacuation";
   private static final String KEYS = "/v1/keys";
   private static final String OUTCOMES = "/v1/outcomes/";
   private static final String CONFIRM = "/confirm";
@@ -115,12 +117,25 @@
       return withMethod(HttpMethod.GET, method, exchange, operators::usage);
     } else if (path.equals("/v1/backends/leaving")) {
       return withMethod(HttpMethod.POST, method, exchange, operators::setLeaving);
+    } else if (path.startsWith(DOMAINS) && path.endsWith(EVACUATION)) {
+      return evacuation(exchange, path, method);
     }
     return path.equals("/v1/drain")
         ? withMethod(HttpMethod.POST, method, exchange, operators::drain)
         : routeHealth(exchange, path, method);
   }
 
+  private Mono<Void> evacuation(Exchange exchange, String path, HttpMethod method) {
+    int end = Math.max(DOMAINS.length(), path.length() - EVACUATION.length());
+    String domain = path.substring(DOMAINS.length(), end);
+    boolean starts = method.equals(HttpMethod.POST);
+    return withMethod(
+        starts ? HttpMethod.POST : HttpMethod.DELETE,
+        method,
+        exchange,
+        taken -> parts.operators().evacuate(taken, domain, starts));
+  }
+
   private Mono<Void> routeHealth(Exchange exchange, String path, HttpMethod method) {
     return switch (path) {
       case "/metrics" ->
--- a/entry/src/main/java/org/endivemux/entry/OperatorHandler.java
+++ b/entry/src/main/java/org/endivemux/entry/OperatorHandler.java
@@ -12,6 +12,7 @@
 import org.endivemux.control.state.CommandResult;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.Declaration;
+import org.endivemux.model.FailureDomain;
 import org.endivemux.model.KeyDigest;
 import org.endivemux.model.KeyRole;
 import org.endivemux.model.OrganisationId;
@@ -154,6 +155,27 @@
         .flatMap(effect -> exchange.json(OK, effect));
   }
 
+  /** Starts or ends the evacuation of a failure domain. */
+  Mono<Void> evacuate(Exchange exchange, String domain, boolean starts) {
+    return authorize(exchange, KeyRole.OPERATOR)
+        .map(caller -> failureDomain(domain))
+        .flatMap(
+            named ->
+                submit(
+                    starts ? new Command.StartEvacuation(named) : new Command.EndEvacuation(named)))
+        .flatMap(answer -> awaitInForce(((CommandResult.EvacuationStored) answer).revision()))
+        .map(inForce -> new Effect(inForce.everywhere(), inForce.missing()))
+        .flatMap(effect -> exchange.json(OK, effect));
+  }
+
+  private static FailureDomain failureDomain(String text) {
+    try {
+      return new FailureDomain(text);
+    } catch (IllegalArgumentException e) {
+      throw new RefusedException(Reason.MALFORMED_BODY, e.getMessage());
+    }
+  }
+
   /** Starts the shutdown of this VM and responds before it is complete. */
   Mono<Void> drain(Exchange exchange) {
     return authorize(exchange, KeyRole.OPERATOR)
