Entries and planner carry out evacuations

Change: FleetScheduler treats servers of evacuated domains as leaving, for first requests, retries, resumed streams and copies. Gateway passes the domains on before a configuration, and whether or not that has changed. Waiting requests of a service without any other server are refused as NO_CAPACITY. When an evacuation ends, ServerPool calls FleetScheduler.evacuationEnded, and the slots of the domain's servers grow to all within 2 s. CapacityPlanner plans for the other domains alone and keeps the lower bound in evacuated ones; their orders are sent last. Gauge domains.evacuated.

The first run of the new planner test was red by its own load: 60 requests reach the bound of 6 per domain without any evacuation; it now uses 30.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -97,6 +97,7 @@
             new FleetScheduler(settings.domain(), notices), notices, clocks::nanos, timers);
     metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.leaving().size());
     metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
+    metrics.register("domains.evacuated", (Gauge<Integer>) pool::evacuatedCount);
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -77,6 +77,8 @@
   }
 
   private void viewChanged() {
+    // Before the first configuration, with which the entry begins to send requests.
+    pool.updateEvacuated(follower.view().evacuated());
     GatewayConfig config = follower.view().gateway();
     if (config.version() > table.config().version()) {
       long startedAt = nanos.getAsLong();
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -3,11 +3,14 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.model.FailureDomain;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
@@ -46,6 +49,7 @@
   private final LongSupplier nanos;
   private final Scheduler timers;
   private final Map<RequestId, Sinks.One<Binding>> waiting = new HashMap<>();
+  private Set<FailureDomain> evacuated = Set.of();
 
   /**
    * @param notices what servers have said of themselves; the scheduler reads the same
@@ -74,6 +78,40 @@
     bind();
   }
 
+  /** Replaces the evacuated failure domains, whose servers get no new requests. */
+  public void updateEvacuated(Set<FailureDomain> domains) {
+    Set<FailureDomain> ended;
+    synchronized (lock) {
+      if (domains.equals(evacuated)) {
+        return;
+      }
+      ended = new HashSet<>(evacuated);
+      ended.removeAll(domains);
+      evacuated = Set.copyOf(domains);
+      scheduler.updateEvacuated(evacuated);
+      ended.forEach(domain -> scheduler.evacuationEnded(domain, nanos.getAsLong()));
+    }
+    logger.atInfo().log("event=evacuation_applied evacuated=%s ended=%s", domains, ended);
+    bind();
+    if (!ended.isEmpty()) {
+      var unused = bindRepeatedly(Duration.ZERO, ServerNotices.RETURN_NANOS).subscribe();
+    }
+  }
+
+  /** Returns the number of evacuated failure domains. */
+  public int evacuatedCount() {
+    synchronized (lock) {
+      return evacuated.size();
+    }
+  }
+
+  /** Binds waiting requests while the slots of servers grow, and after that. */
+  private Flux<Long> bindRepeatedly(Duration delay, long growthNanos) {
+    return Flux.interval(delay, RESUMPTION_STEP, timers)
+        .take(growthNanos / RESUMPTION_STEP.toNanos() + 1)
+        .doOnNext(step -> bind());
+  }
+
   /** Waits for a backend server; fails with {@link GatewayRefusal}. */
   Mono<Binding> acquire(FleetJob job) {
     return Mono.defer(
@@ -134,10 +172,9 @@
         "event=server_paused backend=%s askedMillis=%d millis=%d",
         server.id(), length.toMillis(), untilEnd.toMillis());
     var unused =
-        Flux.interval(untilEnd, RESUMPTION_STEP, timers)
-            .take(ServerNotices.RESUMPTION_NANOS / RESUMPTION_STEP.toNanos() + 1)
+        bindRepeatedly(untilEnd, ServerNotices.RESUMPTION_NANOS)
             .doOnComplete(() -> logger.atInfo().log("event=server_resumed backend=%s", server.id()))
-            .subscribe(step -> bind());
+            .subscribe();
   }
 
   /** Returns the servers that have said that they leave. */
@@ -199,10 +236,23 @@
 
   private void bind() {
     List<Binding> bound;
+    List<FleetJob> unserved;
     synchronized (lock) {
       bound = scheduler.bind(nanos.getAsLong());
+      unserved = scheduler.removeEvacuated();
     }
     bound.forEach(this::deliver);
+    unserved.forEach(this::refuseEvacuated);
+  }
+
+  private void refuseEvacuated(FleetJob job) {
+    Sinks.One<Binding> sink;
+    synchronized (lock) {
+      sink = waiting.remove(job.id());
+    }
+    if (sink != null) {
+      sink.tryEmitError(new GatewayRefusal(Reason.NO_CAPACITY, retryAfterMillis(job.id())));
+    }
   }
 
   private void deliver(Binding binding) {
--- a/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
@@ -13,6 +13,7 @@
 import net.jqwik.api.Example;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
+import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.ServerKind;
 import org.endivemux.model.gateway.GatewayServer;
@@ -120,6 +121,23 @@
     assertThat(bound).hasValue(SLOTS);
   }
 
+  /** Guards against requests that wait in vain when no server remains after an evacuation. */
+  @Example
+  void waitingRequestsAreRefusedAsNotRunWhenNoServerRemains() {
+    listOneServer();
+    IntStream.range(0, SLOTS).forEach(i -> assertThat(bound(job(i))).isPresent());
+    AtomicReference<Throwable> error = new AtomicReference<>();
+    pool.acquire(job(100)).subscribe(binding -> {}, error::set);
+    assertThat(error.get()).isNull();
+    pool.updateEvacuated(Set.of(DOMAIN));
+    assertThat(((GatewayRefusal) error.get()).reason()).isEqualTo(Reason.NO_CAPACITY);
+    assertThat(pool.loads()).extracting(ServiceLoad::requests).containsExactly(SLOTS);
+    pool.release(new RequestId("r0"), AttemptResult.OK);
+    pool.updateEvacuated(Set.of());
+    time.advanceTimeBy(Duration.ofSeconds(2));
+    assertThat(bound(job(101))).isPresent();
+  }
+
   private Optional<Binding> bound(FleetJob job) {
     return Optional.ofNullable(pool.acquire(job).toFuture().getNow(null));
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.ServerKind;
@@ -18,7 +19,8 @@
  * <p>Does no I/O. Spot servers carry the load and are distributed so that the remaining ones can
  * still carry it when those of a whole domain are reclaimed at once; steady servers are the
  * fallback while spot servers are unavailable. Invariant: the targets of both kinds together stay
- * within the bounds of each domain. Confined to the leader's tasks.
+ * within the bounds of each domain. An evacuated domain counts as no capacity and is kept at its
+ * lower bound, so that it can come back. Confined to the leader's tasks.
  */
 public final class CapacityPlanner {
   /** Concurrent requests of one engine that do not slow its streams beyond their targets. */
@@ -49,15 +51,24 @@
    *
    * @param requests waiting and running requests of all entries for the service
    * @param listed all listed backend servers
+   * @param evacuated domains whose servers get no requests; their targets come last
    */
-  public List<Target> plan(ServiceSpec spec, int requests, Collection<GatewayServer> listed) {
+  public List<Target> plan(
+      ServiceSpec spec,
+      int requests,
+      Collection<GatewayServer> listed,
+      Set<FailureDomain> evacuated) {
     return spec.capacity()
-        .map(bounds -> plan(spec, bounds, requests, ofService(spec, listed)))
+        .map(bounds -> plan(spec, bounds, requests, ofService(spec, listed), evacuated))
         .orElse(List.of());
   }
 
   private List<Target> plan(
-      ServiceSpec spec, CapacityBounds bounds, int requests, List<GatewayServer> serving) {
+      ServiceSpec spec,
+      CapacityBounds bounds,
+      int requests,
+      List<GatewayServer> serving,
+      Set<FailureDomain> evacuated) {
     double perServer = requestsPerServer(spec);
     Demand known = demands.getOrDefault(spec.name(), Demand.UNKNOWN);
     Demand demand =
@@ -67,7 +78,7 @@
                 Math.max(known.requests(), presumedDemand(bounds, serving) * perServer),
                 requests > 0);
     demands.put(spec.name(), demand);
-    return plan(bounds, demand.requests() / perServer, serving);
+    return plan(bounds, demand.requests() / perServer, serving, evacuated);
   }
 
   private static double requestsPerServer(ServiceSpec spec) {
@@ -94,9 +105,38 @@
   }
 
   private static List<Target> plan(
-      CapacityBounds bounds, double needed, List<GatewayServer> serving) {
-    int domains = bounds.prices().size();
-    int neededPerDomain = (int) Math.ceil(needed / Math.max(1, domains - 1));
+      CapacityBounds bounds,
+      double needed,
+      List<GatewayServer> listed,
+      Set<FailureDomain> evacuated) {
+    List<FailureDomain> domains =
+        bounds.prices().keySet().stream().filter(domain -> !evacuated.contains(domain)).toList();
+    List<GatewayServer> serving =
+        listed.stream().filter(server -> !evacuated.contains(server.failureDomain())).toList();
+    return Stream.concat(
+            plan(bounds, domains, needed, serving).stream(),
+            bounds.prices().keySet().stream()
+                .filter(evacuated::contains)
+                .sorted()
+                .flatMap(domain -> minimum(domain, bounds.min(), listed)))
+        .toList();
+  }
+
+  /** Returns the targets of an evacuated domain; steady servers stay only where spot ones lack. */
+  private static Stream<Target> minimum(FailureDomain domain, int min, List<GatewayServer> listed) {
+    long lacking = Math.max(0, min - count(domain, ServerKind.CHEAP, listed));
+    int steady = (int) Math.min(lacking, count(domain, ServerKind.STEADY, listed));
+    return Stream.of(
+        new Target(domain, ServerKind.CHEAP, min - steady),
+        new Target(domain, ServerKind.STEADY, steady));
+  }
+
+  private static List<Target> plan(
+      CapacityBounds bounds,
+      List<FailureDomain> domains,
+      double needed,
+      List<GatewayServer> serving) {
+    int neededPerDomain = (int) Math.ceil(needed / Math.max(1, domains.size() - 1));
     int perDomain =
         Math.min(
             bounds.max(),
@@ -105,7 +145,7 @@
     long missing =
         Math.max(0, (long) Math.ceil(needed * STEADY_FALLBACK_THRESHOLD) - serving.size());
     boolean spotSuffices = spot > 0 && spot >= needed;
-    return bounds.prices().keySet().stream()
+    return domains.stream()
         .sorted()
         .flatMap(domain -> targets(domain, bounds.max(), perDomain, missing, spotSuffices, serving))
         .toList();
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -26,11 +26,11 @@
  * Binds requests to the backend servers of the listed services.
  *
  * <p>Does no I/O and reads no clock: monotonic nanoseconds are passed in. Invariants: a server that
- * is leaving or paused or that the job avoids gets nothing, and one in backoff gets nothing while
- * another has capacity; waiting jobs are bound by urgency and then by arrival. In a fleet of many
- * entries, whose load is known as sums that are some hundred milliseconds old, only the job's
- * preferred servers and a few servers sampled by its id are compared. Not thread-safe: one caller
- * at a time.
+ * is leaving or paused, is in an evacuated domain or that the job avoids gets nothing, and one in
+ * backoff gets nothing while another has capacity; waiting jobs are bound by urgency and then by
+ * arrival. In a fleet of many entries, whose load is known as sums that are some hundred
+ * milliseconds old, only the job's preferred servers and a few servers sampled by its id are
+ * compared. Not thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private static final int DEFAULT_SLOTS = 8;
@@ -55,6 +55,7 @@
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
   private final Map<RequestId, ServerLoad> running = new HashMap<>();
   private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
+  private Set<FailureDomain> evacuated = Set.of();
   private long aggregateLoadAt = Long.MIN_VALUE / 2;
 
   /**
@@ -97,6 +98,46 @@
                     .updateListing(server));
   }
 
+  /** Replaces the evacuated domains, whose servers get no new request and are not copied from. */
+  public void updateEvacuated(Set<FailureDomain> domains) {
+    evacuated = Set.copyOf(domains);
+  }
+
+  /** Lets the slots of a domain's servers grow again; its evacuation has just ended. */
+  public void evacuationEnded(FailureDomain domain, long now) {
+    servers.values().stream()
+        .map(ServerLoad::server)
+        .filter(server -> server.failureDomain().equals(domain))
+        .forEach(server -> notices.returns(server.id(), now));
+  }
+
+  /**
+   * Removes and returns the waiting jobs of services whose servers are all evacuated or leaving;
+   * without an evacuation there are none.
+   */
+  public List<FleetJob> removeEvacuated() {
+    if (evacuated.isEmpty()) {
+      return List.of();
+    }
+    List<FleetJob> removed = new ArrayList<>();
+    waiting.forEach(
+        (service, queue) -> {
+          if (!queue.isEmpty() && isEvacuated(service)) {
+            removed.addAll(queue);
+            queue.clear();
+          }
+        });
+    return removed;
+  }
+
+  private boolean isEvacuated(ServiceName service) {
+    return serversOf(service).findAny().isEmpty()
+        && servers.values().stream()
+            .map(ServerLoad::server)
+            .filter(server -> server.service().equals(service))
+            .anyMatch(server -> evacuated.contains(server.failureDomain()));
+  }
+
   private long memoryTokens(GatewayServer server) {
     return Optional.ofNullable(specs.get(server.service()))
         .flatMap(ServiceSpec::engine)
@@ -170,7 +211,9 @@
   }
 
   private boolean isLeaving(GatewayServer server) {
-    return server.leaving() || notices.isLeaving(server.id());
+    return server.leaving()
+        || evacuated.contains(server.failureDomain())
+        || notices.isLeaving(server.id());
   }
 
   private int capacity(ServerLoad load, long now) {
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerNotices.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerNotices.java
@@ -14,8 +14,9 @@
  *
  * <p>Invariants: a server that leaves gets nothing more under its id, whatever the platform's list
  * says; a paused server gets nothing until the end of its pause, and then a share of its slots that
- * grows to all of them within {@link #RESUMPTION_NANOS}. Does no I/O and reads no clock: monotonic
- * nanoseconds are passed in. Not thread-safe.
+ * grows to all of them within {@link #RESUMPTION_NANOS}; so does one whose domain is no longer
+ * evacuated, within {@link #RETURN_NANOS}. Does no I/O and reads no clock: monotonic nanoseconds
+ * are passed in. Not thread-safe.
  */
 public final class ServerNotices {
   /** Time in which a server gets back to all of its slots after a pause. */
@@ -24,9 +25,13 @@
   /** Longer than a server takes to leave; a server that starts later may have the same id. */
   private static final long LEAVING_EXPIRY_NANOS = 300_000_000_000L;
 
+  /** Time in which a server gets back to all of its slots after an evacuation of its domain. */
+  public static final long RETURN_NANOS = 2_000_000_000L;
+
   private final long maxPauseNanos;
   private final Map<BackendServerId, Long> leavingSince = new HashMap<>();
   private final Map<BackendServerId, Long> pausedUntil = new HashMap<>();
+  private final Map<BackendServerId, Long> returnedAt = new HashMap<>();
 
   /**
    * @param maxPause longest pause that a server is granted
@@ -48,11 +53,27 @@
     return pausedUntil.merge(server, end, Math::max);
   }
 
+  /** Records that the domain of a server is no longer evacuated. */
+  void returns(BackendServerId server, long now) {
+    returnedAt.values().removeIf(since -> now - since > RETURN_NANOS);
+    returnedAt.put(server, now);
+  }
+
   /** Returns how many of a server's slots may be used. */
   int usableSlots(BackendServerId server, int slots, long now) {
-    if (leavingSince.containsKey(server)) {
-      return 0;
-    }
+    return leavingSince.containsKey(server)
+        ? 0
+        : Math.min(slotsAfterPause(server, slots, now), slotsAfterReturn(server, slots, now));
+  }
+
+  private int slotsAfterReturn(BackendServerId server, int slots, long now) {
+    Long since = returnedAt.get(server);
+    return since == null || now - since >= RETURN_NANOS
+        ? slots
+        : (int) Math.max(1, slots * (now - since) / RETURN_NANOS);
+  }
+
+  private int slotsAfterPause(BackendServerId server, int slots, long now) {
     Long end = pausedUntil.get(server);
     if (end == null || now - end >= RESUMPTION_NANOS) {
       return slots;
--- a/routing/src/test/java/org/endivemux/routing/fleet/CapacityPlannerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/CapacityPlannerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -19,8 +20,8 @@
   private static final ServiceSpec SPACIOUS = Fleet.spec(20);
 
   private static List<Target> settled(CapacityPlanner planner, int load, List<GatewayServer> now) {
-    IntStream.range(0, 40).forEach(i -> planner.plan(Fleet.spec(), load, now));
-    return planner.plan(Fleet.spec(), load, now);
+    IntStream.range(0, 40).forEach(i -> planner.plan(Fleet.spec(), load, now, Set.of()));
+    return planner.plan(Fleet.spec(), load, now, Set.of());
   }
 
   private static int sum(List<Target> targets, ServerKind kind) {
@@ -29,7 +30,8 @@
 
   @Example
   void steadyServersStayUntilSpotServersServe() {
-    List<Target> targets = new CapacityPlanner().plan(Fleet.spec(), 10, Fleet.oneInEachDomain());
+    List<Target> targets =
+        new CapacityPlanner().plan(Fleet.spec(), 10, Fleet.oneInEachDomain(), Set.of());
     assertThat(sum(targets, ServerKind.STEADY)).isEqualTo(4);
     assertThat(sum(targets, ServerKind.CHEAP)).isGreaterThanOrEqualTo(4);
   }
@@ -70,6 +72,35 @@
     assertThat(left * 6).isGreaterThanOrEqualTo(load);
   }
 
+  /** Guards against capacity that is ordered elsewhere only when the load arrives there. */
+  @Example
+  void otherDomainsReplaceAnEvacuatedOneAtOnce() {
+    CapacityPlanner planner = new CapacityPlanner();
+    List<Target> before = settled(planner, 30, Fleet.spot(4));
+    FailureDomain evacuated = Fleet.DOMAINS.get(0);
+    List<Target> targets = planner.plan(Fleet.spec(), 30, Fleet.spot(4), Set.of(evacuated));
+    assertThat(inDomain(targets, evacuated)).isEqualTo(1);
+    assertThat(targets.get(targets.size() - 1).failureDomain()).isEqualTo(evacuated);
+    Fleet.DOMAINS.stream()
+        .skip(1)
+        .forEach(
+            domain ->
+                assertThat(inDomain(targets, domain))
+                    .isGreaterThan(inDomain(before, domain))
+                    .isLessThanOrEqualTo(6));
+  }
+
+  /** Guards against an evacuated domain without the servers with which it comes back. */
+  @Example
+  void evacuatedDomainsKeepTheirMinimum() {
+    List<Target> targets =
+        new CapacityPlanner()
+            .plan(Fleet.spec(), 60, Fleet.oneInEachDomain(), Set.copyOf(Fleet.DOMAINS));
+    Fleet.DOMAINS.forEach(
+        domain -> assertThat(inDomain(targets, domain, ServerKind.STEADY)).isEqualTo(1));
+    assertThat(sum(targets, ServerKind.CHEAP)).isZero();
+  }
+
   @Example
   void initialServerCountIsRetainedUntilLoadIsKnown() {
     List<GatewayServer> setUp =
@@ -77,13 +108,13 @@
             .mapToObj(i -> Fleet.server(i, Fleet.DOMAINS.get(i % 4), ServerKind.STEADY, false))
             .toList();
     CapacityPlanner planner = new CapacityPlanner();
-    planner.plan(SPACIOUS, 0, setUp.subList(0, 3));
-    IntStream.range(0, 20).forEach(i -> planner.plan(SPACIOUS, 0, setUp));
-    List<Target> unknown = planner.plan(SPACIOUS, 0, setUp);
+    planner.plan(SPACIOUS, 0, setUp.subList(0, 3), Set.of());
+    IntStream.range(0, 20).forEach(i -> planner.plan(SPACIOUS, 0, setUp, Set.of()));
+    List<Target> unknown = planner.plan(SPACIOUS, 0, setUp, Set.of());
     Fleet.DOMAINS.forEach(
         domain -> assertThat(inDomain(unknown, domain, ServerKind.CHEAP)).isEqualTo(5));
-    IntStream.range(0, 60).forEach(i -> planner.plan(SPACIOUS, 1, setUp));
-    assertThat(sum(planner.plan(SPACIOUS, 1, setUp), ServerKind.CHEAP)).isEqualTo(12);
+    IntStream.range(0, 60).forEach(i -> planner.plan(SPACIOUS, 1, setUp, Set.of()));
+    assertThat(sum(planner.plan(SPACIOUS, 1, setUp, Set.of()), ServerKind.CHEAP)).isEqualTo(12);
   }
 
   @Example
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -5,8 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
+import org.endivemux.model.FailureDomain;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.ServerKind;
 import org.endivemux.model.gateway.ServiceLoad;
@@ -54,6 +56,50 @@
     assertThat(bound.server().id().value()).isEqualTo("s1");
   }
 
+  /** Guards against requests, retries and copies that still use an evacuated domain. */
+  @Example
+  void evacuatedDomainGetsNoJobsAndIsNotCopiedFrom() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.updateServers(Fleet.oneInEachDomain());
+    Binding first = bindOne(scheduler, Fleet.job(1, 0, Fleet.prompt("s")), 0);
+    FailureDomain evacuated = first.server().failureDomain();
+    scheduler.updateEvacuated(Set.of(evacuated));
+    IntStream.range(2, 60).forEach(i -> scheduler.offer(Fleet.job(i, 0, Fleet.prompt("s"))));
+    List<Binding> bound = scheduler.bind(Fleet.MILLI);
+    assertThat(bound)
+        .hasSize(24)
+        .noneMatch(it -> it.server().failureDomain().equals(evacuated))
+        .noneMatch(it -> it.copyFrom().filter(first.server()::equals).isPresent());
+    assertThat(scheduler.removeEvacuated()).isEmpty();
+  }
+
+  /** Guards against requests without an outcome when every domain is evacuated. */
+  @Example
+  void waitingJobsAreRemovedWhenEveryDomainIsEvacuated() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.offer(Fleet.job(1, 0, PromptShape.none()));
+    assertThat(scheduler.removeEvacuated()).isEmpty();
+    scheduler.updateServers(Fleet.oneInEachDomain());
+    scheduler.updateEvacuated(Set.copyOf(Fleet.DOMAINS));
+    assertThat(scheduler.bind(0)).isEmpty();
+    assertThat(scheduler.removeEvacuated()).hasSize(1);
+    assertThat(scheduler.loads()).allMatch(load -> load.requests() == 0);
+  }
+
+  /** Guards against a jump of load to a domain when its evacuation ends. */
+  @Example
+  void slotsOfAReturningDomainGrow() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.updateServers(Fleet.oneInEachDomain().subList(0, 1));
+    scheduler.updateEvacuated(Set.of(Fleet.DOMAINS.get(0)));
+    scheduler.updateEvacuated(Set.of());
+    scheduler.evacuationEnded(Fleet.DOMAINS.get(0), 0);
+    IntStream.range(0, 20).forEach(i -> scheduler.offer(Fleet.job(i, 0, PromptShape.none())));
+    assertThat(scheduler.bind(0)).hasSize(1);
+    assertThat(scheduler.bind(1000 * Fleet.MILLI)).hasSize(3);
+    assertThat(scheduler.bind(2000 * Fleet.MILLI)).hasSize(4);
+  }
+
   @Example
   void failedServerIsInBackoffWhileAnotherHasCapacity() {
     FleetScheduler scheduler = scheduler();
