--- a/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
+++ b/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeoutException;
 import org.endivemux.routing.RetryPolicy.Failure;
 import org.endivemux.routing.fleet.AttemptResult;
+import org.endivemux.wire.SendMarker;
 
 /** Signals that an attempt ended without a response to pass on. Immutable. */
 abstract sealed class AttemptFailure extends RuntimeException {
@@ -12,8 +13,11 @@
     super(message, null, false, false);
   }
 
-  /** Returns how an attempt that failed with an error ended. */
-  static AttemptResult endOf(Throwable error) {
+  /** Returns how an attempt that failed ended; one that was held back is no fault of its server. */
+  static AttemptResult endOf(SendMarker marker, Throwable error) {
+    if (marker.isHeldBack()) {
+      return AttemptResult.CANCELLED;
+    }
     if (error instanceof NotRun it) {
       return it.addressReassigned ? AttemptResult.GONE : AttemptResult.FULL;
     }
--- a/gateway/src/main/java/org/endivemux/gateway/EventLoopStall.java
+++ b/gateway/src/main/java/org/endivemux/gateway/EventLoopStall.java
@@ -38,6 +38,7 @@
   private long lastTick;
   private long stalledSince;
   private long settledAt;
+  private long backlogReadAt;
   private long count;
 
   /**
@@ -60,6 +61,7 @@
     started = true;
     lastTick = nanos.getAsLong();
     settledAt = lastTick;
+    backlogReadAt = lastTick;
   }
 
   private void tick() {
@@ -78,6 +80,8 @@
       count++;
       stalledSince = lastTick;
       settledAt = now + BACKLOG.toNanos();
+      // At 5 ms a request, a backlog of 20 connections took more than 100 ms to read.
+      backlogReadAt = now + Math.max(BACKLOG.toNanos(), stalled);
     }
     lastTick = now;
     return stalled;
@@ -103,7 +107,7 @@
 
   private synchronized boolean mayHavePendingReads() {
     long now = nanos.getAsLong();
-    return isStalled(now) || (started && settledAt - now > 0);
+    return isStalled(now) || (started && backlogReadAt - now > 0);
   }
 
   /** Returns the checks of one attempt to send a request. */
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -127,15 +127,14 @@
           SendCheck check = stall.newSendCheck();
           SendMarker marker = new SendMarker(check::isSteady);
           return pool.acquire(job)
-              .delayUntil(binding -> pendingReads(check, job))
+              .delayUntil(binding -> check.pendingReads().doOnCancel(() -> cancel(job.id())))
               .flatMapMany(binding -> send(request, body, progress, binding, marker))
               .onErrorResume(error -> retryOrFail(request, body, progress, marker, error));
         });
   }
 
-  /** Waits until a close of the caller's connection that was pending has been read. */
-  private Mono<Void> pendingReads(SendCheck check, FleetJob job) {
-    return check.pendingReads().doOnCancel(() -> pool.release(job.id(), AttemptResult.CANCELLED));
+  private void cancel(RequestId id) {
+    pool.release(id, AttemptResult.CANCELLED);
   }
 
   private boolean isTooLate(AdmittedRequest request, Progress progress) {
@@ -144,8 +143,8 @@
   }
 
   private static GatewayRefusal tooLate(AdmittedRequest request) {
-    RequestId id = new RequestId(request.head().id());
-    return new GatewayRefusal(Reason.TOO_LATE, ServerPool.retryAfterMillis(id));
+    return new GatewayRefusal(
+        Reason.TOO_LATE, ServerPool.retryAfterMillis(new RequestId(request.head().id())));
   }
 
   private FleetJob job(AdmittedRequest request, Progress progress) {
@@ -171,15 +170,15 @@
     RequestId id = binding.job().id();
     PromptShape prompt = request.head().prompt();
     if (stop.isClosed() && progress.attempts() == 0) {
-      pool.release(id, AttemptResult.CANCELLED);
+      cancel(id);
       return Flux.error(GatewayRefusal.draining());
     }
     if (isTooLate(request, progress)) {
-      pool.release(id, AttemptResult.CANCELLED);
+      cancel(id);
       return Flux.error(tooLate(request));
     }
     if (crashes.isHeldBack(prompt)) {
-      pool.release(id, AttemptResult.CANCELLED);
+      cancel(id);
       return Flux.error(GatewayRefusal.of(Reason.PROMPT_QUARANTINED));
     }
     crashes.sent(prompt);
@@ -212,13 +211,9 @@
         .doOnCancel(marker::tryAbandon)
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
         .doOnComplete(() -> crashes.completed(prompt))
-        .doOnError(error -> pool.release(id, endOf(marker, error)))
+        .doOnError(error -> pool.release(id, AttemptFailure.endOf(marker, error)))
         .doOnError(error -> crashes.failed(binding.server(), prompt, marker, error))
-        .doOnCancel(() -> pool.release(id, AttemptResult.CANCELLED));
-  }
-
-  private static AttemptResult endOf(SendMarker marker, Throwable error) {
-    return marker.isHeldBack() ? AttemptResult.CANCELLED : AttemptFailure.endOf(error);
+        .doOnCancel(() -> cancel(id));
   }
 
   private int maxConnections(ServiceName service) {
--- a/wire/src/test/java/org/endivemux/wire/SendMarkerTest.java
+++ b/wire/src/test/java/org/endivemux/wire/SendMarkerTest.java
@@ -34,6 +34,16 @@
     assertThat(marker.tryAbandon()).isFalse();
   }
 
+  /** Guards against a held-back attempt that is sent later or counts as sent. */
+  @Example
+  void attemptThatMayNotBeSentWhenItCouldBeIsAbandoned() {
+    SendMarker marker = new SendMarker(() -> false);
+    assertThat(marker.trySend()).isFalse();
+    assertThat(marker.isHeldBack()).isTrue();
+    assertThat(marker.mayHaveSent()).isFalse();
+    assertThat(marker.tryAbandon()).isTrue();
+  }
+
   private static boolean await(CyclicBarrier barrier) {
     try {
       barrier.await();
