Cold engines: decode the declaration and the list's remaining cold time

Cause: the configuration's coldStartS and coldPerS and the list's coldLeftMs were dropped, so no entry could know which engines are cold.

A remaining time changes at each reading and each change of a list entry is sent to all entries, so ServerListing turns it into an end when a reading arrives and keeps the known end for readings that differ by no more than the list's lag. The end is up to 0.8 s late, never early. A reading without a cold time keeps the known end, because it may be older.

--- a/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
+++ b/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
@@ -175,7 +175,7 @@
   }
 
   private void applyList(long term, ServerListing listing) {
-    if (directory.replace(term, listing)) {
+    if (directory.replace(term, listing, time.millis())) {
       List<GatewayServer> servers = directory.servers();
       listChangedAt = clocks.nanos();
       logger.atInfo().log(
--- a/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
@@ -40,9 +40,12 @@
   /**
    * Replaces the list; returns whether it differs from the previous one. A server whose entry
    * cannot be read stays as it was in this term.
+   *
+   * @param nowMillis true time at which the listing was received, in Unix milliseconds
    */
-  synchronized boolean replace(long newTerm, ServerListing listing) {
-    List<GatewayServer> read = listing.completedFrom(newTerm == term ? servers : List.of());
+  synchronized boolean replace(long newTerm, ServerListing listing, long nowMillis) {
+    List<GatewayServer> read =
+        listing.completedFrom(newTerm == term ? servers : List.of(), nowMillis);
     if (newTerm != term) {
       reportedLeaving.clear();
     }
--- a/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
@@ -51,32 +51,32 @@
    */
   @Example
   void reportedServerIsLeavingInThisListAndInLaterOnes() {
-    directory.replace(TERM, listing(listed()));
+    directory.replace(TERM, listing(listed()), 0);
     assertThat(directory.reportLeaving(TERM, List.of(LEAVING))).isTrue();
     assertThat(leaving()).containsExactly(LEAVING);
     assertThat(directory.reportLeaving(TERM, List.of(LEAVING))).isFalse();
-    assertThat(directory.replace(TERM, listing(listed()))).isFalse();
+    assertThat(directory.replace(TERM, listing(listed()), 0)).isFalse();
     assertThat(leaving()).containsExactly(LEAVING);
   }
 
   /** Guards against a server that starts under an earlier id being taken for the one that left. */
   @Example
   void reportEndsWhenTheServerIsNoLongerListed() {
-    directory.replace(TERM, listing(listed()));
+    directory.replace(TERM, listing(listed()), 0);
     directory.reportLeaving(TERM, List.of(LEAVING));
-    directory.replace(TERM, listing(listed().subList(2, 3)));
-    directory.replace(TERM, listing(listed()));
+    directory.replace(TERM, listing(listed().subList(2, 3)), 0);
+    directory.replace(TERM, listing(listed()), 0);
     assertThat(leaving()).isEmpty();
   }
 
   /** Guards against a sound server that gets no requests because its entry was overwritten. */
   @Example
   void serverWhoseEntryCannotBeReadStaysAsItWas() {
-    directory.replace(TERM, listing(listed()));
+    directory.replace(TERM, listing(listed()), 0);
     ServerListing odd = new ServerListing(listed().subList(0, 2), Set.of(listed().get(2).id()));
-    assertThat(directory.replace(TERM, odd)).isFalse();
+    assertThat(directory.replace(TERM, odd, 0)).isFalse();
     assertThat(directory.servers()).isEqualTo(listed());
-    directory.replace(TERM + 1, odd);
+    directory.replace(TERM + 1, odd, 0);
     assertThat(directory.servers()).isEqualTo(listed().subList(0, 2));
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -72,7 +72,8 @@
 
   private void apply(ServerListing listing) {
     if (syncState.nanosSinceLeaderHeard() >= LEADER_SILENCE_NANOS) {
-      List<GatewayServer> servers = listing.completedFrom(syncState.servers());
+      List<GatewayServer> servers =
+          listing.completedFrom(syncState.servers(), syncState.trueMillis());
       logger.atInfo().log("event=list_read_directly count=%d", servers.size());
       syncState.replaceServers(servers);
     }
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
@@ -9,6 +9,8 @@
  *
  * @param address IP address and port
  * @param leaving whether it is draining and accepts no new requests
+ * @param coldUntilMillis true time in Unix milliseconds until which it is cold, as last estimated;
+ *     0 if it has not been listed as cold, and from processes of an earlier version
  */
 public record GatewayServer(
     BackendServerId id,
@@ -17,10 +19,29 @@
     FailureDomain failureDomain,
     int slots,
     boolean leaving,
-    ServerKind kind) {
+    ServerKind kind,
+    long coldUntilMillis) {
+
+  /** Creates a server that has not been listed as cold. */
+  public GatewayServer(
+      BackendServerId id,
+      ServiceName service,
+      String address,
+      FailureDomain failureDomain,
+      int slots,
+      boolean leaving,
+      ServerKind kind) {
+    this(id, service, address, failureDomain, slots, leaving, kind, 0);
+  }
 
   /** Returns the same server, which accepts no new requests. */
   public GatewayServer asLeaving() {
-    return new GatewayServer(id, service, address, failureDomain, slots, true, kind);
+    return new GatewayServer(
+        id, service, address, failureDomain, slots, true, kind, coldUntilMillis);
+  }
+
+  /** Returns the same server, which is cold until a true time in Unix milliseconds. */
+  public GatewayServer coldUntil(long millis) {
+    return new GatewayServer(id, service, address, failureDomain, slots, leaving, kind, millis);
   }
 }
