Cold engines: a few entries send to them, each at a fixed part of the rate

Cause: an engine that returns cold has no load and looks best to every entry at once. Without the limit the simulation of 60 entries sends one of them more than 36 requests in a second (asserted as over 1.5 x 24.5 by withoutADeclarationColdEnginesGetFarMore); 24.5 are allowed.

Change: WarmUpLimit lets the four entries that rank highest for a cold engine send to it, each at a quarter of 0.8 x coldPerS without a backlog. Engines that are new in the list, failed, or are back from evacuation count as cold for a bounded time. Afterwards entries, rates and slots grow together within 2 s; SlotRamp serves this and ServerNotices. A time-out is now the attempt result SILENT, which has the backoff of FAILED but does not count as a restart. Services without a declaration are not limited.

WarmUpLimitTest 13, FleetSchedulerTest 9, ServerNoticesTest 8, LongPromptServersTest 3, ServerPoolTest 6, DirectListingTest 3 and GatewaySettingsTest 1 are green.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -32,6 +32,7 @@
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.ServerNotices;
+import org.endivemux.routing.fleet.WarmUpLimit;
 import org.endivemux.wire.PeerLink;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
@@ -94,9 +95,16 @@
     ServerNotices notices = new ServerNotices(settings.maxServerPause());
     this.pool =
         new ServerPool(
-            new FleetScheduler(settings.domain(), notices), notices, clocks::nanos, timers);
+            new FleetScheduler(
+                settings.domain(),
+                notices,
+                new WarmUpLimit(settings.peerId(), this::liveEntries, settings.coldBounds())),
+            notices,
+            clocks::nanos,
+            timers);
     metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.leaving().size());
     metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
+    metrics.register("servers.cold", (Gauge<Integer>) pool::coldCount);
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
@@ -149,6 +157,10 @@
     return follower.entries().size() <= Cells.MAX_SIZE ? follower.entries() : List.of();
   }
 
+  private List<EntryInfo> liveEntries() {
+    return follower.entries();
+  }
+
   private int entryCount() {
     return Math.max(1, follower.entries().size());
   }
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.VmId;
+import org.endivemux.routing.fleet.WarmUpLimit;
 
 /**
  * Settings of a process that runs the gateway on the users' platform.
@@ -40,6 +41,9 @@
  * @param maxServerPauseSeconds longest time for which an entry sends nothing to a backend server
  *     that asks for it; bounds the loss when a server asks for far too long by mistake; 60 if
  *     absent
+ * @param coldOverage requests that a cold backend server may get in a second, as a multiple of the
+ *     declared rate; 1.5 if absent
+ * @param coldSlack requests that a cold backend server may get in a second beyond that; 5 if absent
  * @param entriesLifetimeSeconds how long callers may cache the list of entries
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
@@ -63,8 +67,12 @@
     double retrySlack,
     double drainSeconds,
     Optional<Double> maxServerPauseSeconds,
+    Optional<Double> coldOverage,
+    Optional<Double> coldSlack,
     double entriesLifetimeSeconds) {
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
+  private static final double DEFAULT_COLD_OVERAGE = 1.5;
+  private static final double DEFAULT_COLD_SLACK = 5;
   private static final ObjectMapper YAML = YAMLMapper.builder().addModule(new Jdk8Module()).build();
 
   /**
@@ -147,6 +155,11 @@
     return millis(maxServerPauseSeconds.orElse(DEFAULT_MAX_SERVER_PAUSE_SECONDS));
   }
 
+  WarmUpLimit.Bounds coldBounds() {
+    return new WarmUpLimit.Bounds(
+        coldOverage.orElse(DEFAULT_COLD_OVERAGE), coldSlack.orElse(DEFAULT_COLD_SLACK));
+  }
+
   private static Duration millis(double seconds) {
     return Duration.ofMillis((long) (seconds * 1000));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
+++ b/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
@@ -17,6 +17,9 @@
     if (error instanceof NotRun it) {
       return it.addressReassigned ? AttemptResult.GONE : AttemptResult.FULL;
     }
+    if (error instanceof TimeoutException) {
+      return AttemptResult.SILENT;
+    }
     return error instanceof ServerError ? AttemptResult.ERROR : AttemptResult.FAILED;
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -72,7 +72,8 @@
             nanos,
             timers);
     follower.onChange(this::viewChanged);
-    syncState.onServersChanged(() -> pool.updateServers(syncState.servers()));
+    syncState.onServersChanged(
+        () -> pool.updateServers(syncState.servers(), syncState.trueMillis()));
     syncState.onVerdicts(crashes::update);
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.InFlightAt;
@@ -20,6 +21,7 @@
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.ServerNotices;
+import org.endivemux.routing.fleet.WarmUpLimit;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -37,7 +39,7 @@
   private static final long RETRY_AFTER_SPREAD_MILLIS = 750;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** How often waiting requests are bound while a server gets back to all of its slots. */
+  /** How often waiting requests are bound while the usable slots of a server grow. */
   private static final Duration RESUMPTION_STEP = Duration.ofMillis(50);
 
   private final Object lock = new Object();
@@ -46,6 +48,7 @@
   private final LongSupplier nanos;
   private final Scheduler timers;
   private final Map<RequestId, Sinks.One<Binding>> waiting = new HashMap<>();
+  private final AtomicBoolean warmUpStepPending = new AtomicBoolean();
 
   /**
    * @param notices what servers have said of themselves; the scheduler reads the same
@@ -66,10 +69,14 @@
     bind();
   }
 
-  /** Replaces the list of backend servers. */
-  public void updateServers(List<GatewayServer> servers) {
+  /**
+   * Replaces the list of backend servers.
+   *
+   * @param trueMillis true time now, in Unix milliseconds
+   */
+  public void updateServers(List<GatewayServer> servers, long trueMillis) {
     synchronized (lock) {
-      scheduler.updateServers(servers);
+      scheduler.updateServers(servers, nanos.getAsLong(), trueMillis);
     }
     bind();
   }
@@ -199,12 +206,39 @@
 
   private void bind() {
     List<Binding> bound;
+    List<WarmUpLimit.Decision> decisions;
+    boolean awaitsWarmUp;
     synchronized (lock) {
-      bound = scheduler.bind(nanos.getAsLong());
+      long now = nanos.getAsLong();
+      bound = scheduler.bind(now);
+      decisions = scheduler.takeWarmUpDecisions();
+      awaitsWarmUp = scheduler.awaitsWarmUp(now);
+    }
+    decisions.forEach(ServerPool::log);
+    if (awaitsWarmUp && warmUpStepPending.compareAndSet(false, true)) {
+      var unused = Mono.delay(RESUMPTION_STEP, timers).subscribe(step -> bindAfterWarmUpStep());
     }
     bound.forEach(this::deliver);
   }
 
+  private void bindAfterWarmUpStep() {
+    warmUpStepPending.set(false);
+    bind();
+  }
+
+  private static void log(WarmUpLimit.Decision decision) {
+    logger.atInfo().log(
+        "event=server_cold backend=%s cause=%s millis=%d",
+        decision.server(), decision.cause(), decision.nanos() / NANOS_PER_MILLI);
+  }
+
+  /** Returns the number of servers that are treated as cold. */
+  public int coldCount() {
+    synchronized (lock) {
+      return scheduler.coldCount(nanos.getAsLong());
+    }
+  }
+
   private void deliver(Binding binding) {
     Sinks.One<Binding> sink;
     synchronized (lock) {
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -82,7 +82,7 @@
             List.of());
     ServerPool pool = Fixtures.pool(System::nanoTime);
     pool.configure(config);
-    pool.updateServers(List.of(server(1), server(2), server(3)));
+    pool.updateServers(List.of(server(1), server(2), server(3)), 0);
     Relay relay =
         new Relay(
             pool,
--- a/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
@@ -12,18 +12,26 @@
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.model.EntryInfo;
 import org.endivemux.model.FailureDomain;
+import org.endivemux.model.Incarnation;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.ServerKind;
+import org.endivemux.model.VmId;
+import org.endivemux.model.gateway.ClientLimits;
+import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.model.gateway.WarmUp;
 import org.endivemux.routing.fleet.AttemptResult;
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.routing.fleet.ServerNotices;
+import org.endivemux.routing.fleet.WarmUpLimit;
 import reactor.core.publisher.Mono;
 import reactor.test.scheduler.VirtualTimeScheduler;
 
@@ -52,7 +60,7 @@
   }
 
   private void listOneServer() {
-    pool.updateServers(List.of(server()));
+    pool.updateServers(List.of(server()), 0);
   }
 
   @Example
@@ -120,6 +128,35 @@
     assertThat(bound).hasValue(SLOTS);
   }
 
+  /** Guards against requests that wait for a cold server although its next one is due. */
+  @Example
+  void waitingRequestsAreBoundAtTheRateOfAColdServer() {
+    List<EntryInfo> entries =
+        List.of(new EntryInfo(new VmId("a:1"), new Incarnation("1"), DOMAIN, "a:2", "a:1", true));
+    WarmUpLimit warmUp =
+        new WarmUpLimit(new VmId("a:1"), () -> entries, new WarmUpLimit.Bounds(1.5, 5));
+    ServerPool cold =
+        new ServerPool(
+            new FleetScheduler(DOMAIN, notices, warmUp),
+            notices,
+            () -> time.now(TimeUnit.NANOSECONDS),
+            time);
+    ServiceSpec spec =
+        new ServiceSpec(
+            SERVICE, 8, Optional.empty(), Optional.empty(), Optional.of(new WarmUp(3000, 10)));
+    cold.configure(
+        new GatewayConfig(1, List.of(), List.of(spec), ClientLimits.defaults(), List.of()));
+    cold.updateServers(List.of(server().coldUntil(5000)), 0);
+    time.advanceTimeBy(Duration.ofSeconds(2));
+    AtomicInteger bound = new AtomicInteger();
+    IntStream.range(0, SLOTS)
+        .forEach(i -> cold.acquire(job(i)).subscribe(binding -> bound.incrementAndGet()));
+    assertThat(bound).hasValue(1);
+    time.advanceTimeBy(Duration.ofMillis(700));
+    assertThat(bound).hasValue(SLOTS);
+    assertThat(cold.coldCount()).isEqualTo(1);
+  }
+
   private Optional<Binding> bound(FleetJob job) {
     return Optional.ofNullable(pool.acquire(job).toFuture().getNow(null));
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/AttemptResult.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/AttemptResult.java
@@ -9,8 +9,10 @@
   GONE,
   /** The backend server answered with an error. */
   ERROR,
-  /** The backend server could not be reached, closed the connection early or stopped sending. */
+  /** The backend server could not be reached or closed the connection early. */
   FAILED,
+  /** The backend server sent nothing for too long, or no connection to it was free. */
+  SILENT,
   /** The attempt ended early for a reason that is unrelated to the backend server. */
   CANCELLED
 }
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ColdState.java
@@ -0,0 +1,126 @@
+package org.endivemux.routing.fleet;
+
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.WarmUp;
+
+/**
+ * Holds what one entry knows about the warm-up of one server.
+ *
+ * <p>Invariant: the listed end of a cold period is converted to monotonic time once, when it
+ * arrives, so that later corrections of true time do not move it. Confined to its {@link
+ * WarmUpLimit}.
+ */
+final class ColdState {
+  /** Age of the list when an entry gets it: 800 ms lag, 700 ms until it is read. */
+  static final long LIST_LAG_NANOS = 1_500_000_000L;
+
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private GatewayServer server;
+  private long listedEndMillis;
+  private long listedEnd = NEVER;
+  private long suspectedAt = NEVER;
+  private long supersededFrom;
+  private long evacuatedUntil = NEVER;
+  private long sentAt = NEVER;
+  private long rankedAt = NEVER;
+  private int rank = Integer.MAX_VALUE;
+  private long senderSince;
+
+  ColdState(GatewayServer server) {
+    this.server = server;
+  }
+
+  GatewayServer server() {
+    return server;
+  }
+
+  /**
+   * Updates the listing; returns whether the server is listed as cold until a new end.
+   *
+   * @param trueMillis true time at {@code now}, in Unix milliseconds
+   */
+  boolean updateListing(GatewayServer newer, long now, long trueMillis) {
+    server = newer;
+    boolean isNew = newer.coldUntilMillis() > 0 && newer.coldUntilMillis() != listedEndMillis;
+    if (!isNew) {
+      return false;
+    }
+    listedEndMillis = newer.coldUntilMillis();
+    listedEnd = now + (listedEndMillis - trueMillis) * NANOS_PER_MILLI;
+    if (now >= supersededFrom) {
+      suspectedAt = NEVER;
+    }
+    return listedEnd > now;
+  }
+
+  /** Treats the server as cold until a newer list tells, or for as long as a start takes. */
+  void suspect(long now) {
+    suspectedAt = now;
+    supersededFrom = now;
+  }
+
+  /** Does the same for a server that failed, which lists that are read before do not know. */
+  void suspectAfterFailure(long now) {
+    suspectedAt = now;
+    supersededFrom = now + LIST_LAG_NANOS;
+  }
+
+  /**
+   * Returns whether the server failed so recently that other entries may not know it and use it as
+   * a warm one.
+   */
+  boolean isFailureUnlisted(long now) {
+    return now < supersededFrom;
+  }
+
+  void evacuationEnded(long now) {
+    evacuatedUntil = now;
+  }
+
+  long evacuatedUntil() {
+    return evacuatedUntil;
+  }
+
+  /** Returns when the server is warm, which may be in the past. */
+  long coldEnd(WarmUp warmUp) {
+    return Math.max(
+        listedEnd, suspectedAt + warmUp.startMillis() * NANOS_PER_MILLI + LIST_LAG_NANOS);
+  }
+
+  void sent(long now) {
+    sentAt = now;
+  }
+
+  long sentAt() {
+    return sentAt;
+  }
+
+  /** Returns whether the rank was computed from the list of entries of a time. */
+  boolean isRankedFor(long entriesChangedAt) {
+    return rankedAt == entriesChangedAt;
+  }
+
+  /**
+   * Records this entry's rank among the live entries.
+   *
+   * @param entriesChangedAt since when the list of entries has been as it is
+   */
+  void updateRank(int newer, int senders, long entriesChangedAt) {
+    if (rankedAt == NEVER || rank >= senders) {
+      senderSince = entriesChangedAt;
+    }
+    rank = newer;
+    rankedAt = entriesChangedAt;
+  }
+
+  int rank() {
+    return rank;
+  }
+
+  /** Returns since when this entry has had the rank of a sender, if it has it. */
+  long senderSince() {
+    return senderSince;
+  }
+}
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -27,10 +27,10 @@
  *
  * <p>Does no I/O and reads no clock: monotonic nanoseconds are passed in. Invariants: a server that
  * is leaving or paused or that the job avoids gets nothing, and one in backoff gets nothing while
- * another has capacity; waiting jobs are bound by urgency and then by arrival. In a fleet of many
- * entries, whose load is known as sums that are some hundred milliseconds old, only the job's
- * preferred servers and a few servers sampled by its id are compared. Not thread-safe: one caller
- * at a time.
+ * another has capacity; a cold one gets what {@link WarmUpLimit} allows; waiting jobs are bound by
+ * urgency and then by arrival. In a fleet of many entries, whose load is known as sums that are
+ * some hundred milliseconds old, only the job's preferred servers and a few servers sampled by its
+ * id are compared. Not thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private static final int DEFAULT_SLOTS = 8;
@@ -50,6 +50,7 @@
 
   private final ServerSelection selection;
   private final ServerNotices notices;
+  private final WarmUpLimit warmUp;
   private final Map<ServiceName, ServiceSpec> specs = new HashMap<>();
   private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
@@ -71,15 +72,56 @@
       Optional<GatewayServer> copyFrom,
       long expectedPrefillNanos) {}
 
+  /** Creates a scheduler for services whose servers need no warm-up. */
   public FleetScheduler(FailureDomain domain, ServerNotices notices) {
+    this(domain, notices, WarmUpLimit.withoutEntries());
+  }
+
+  /** Creates a scheduler; {@code warmUp}, which limits cold servers, is used by no other one. */
+  public FleetScheduler(FailureDomain domain, ServerNotices notices, WarmUpLimit warmUp) {
     this.selection = new ServerSelection(domain);
     this.notices = notices;
+    this.warmUp = warmUp;
   }
 
   /** Replaces the declared services. */
   public void updateServices(List<ServiceSpec> declared) {
     specs.clear();
     declared.forEach(spec -> specs.put(spec.name(), spec));
+    warmUp.updateServices(declared);
+  }
+
+  /**
+   * Replaces the list of backend servers, some of which may be cold.
+   *
+   * @param trueMillis true time at {@code now}, in Unix milliseconds
+   */
+  public void updateServers(List<GatewayServer> listed, long now, long trueMillis) {
+    warmUp.updateServers(listed, now, trueMillis);
+    updateServers(listed);
+  }
+
+  /**
+   * Records that a failure domain is no longer evacuated: its servers are treated as cold where
+   * their service has a warm-up, and get back to their slots in steps everywhere else.
+   */
+  public void evacuationEnded(FailureDomain domain, long now) {
+    warmUp.evacuationEnded(domain, now);
+  }
+
+  /** Returns which servers are treated as cold since the last call. */
+  public List<WarmUpLimit.Decision> takeWarmUpDecisions() {
+    return warmUp.takeDecisions();
+  }
+
+  /** Returns the number of servers that are treated as cold. */
+  public int coldCount(long now) {
+    return warmUp.coldCount(now);
+  }
+
+  /** Returns whether jobs wait that may be bound by the passing of time alone. */
+  public boolean awaitsWarmUp(long now) {
+    return waiting.values().stream().anyMatch(queue -> !queue.isEmpty()) && warmUp.isWarmingUp(now);
   }
 
   /** Replaces the list of backend servers; one that is no longer listed gets no new work. */
@@ -134,6 +176,7 @@
         Optional<GatewayServer> copyFrom =
             selection.copyFrom(job, chosen.get(), serversOf(job.service()));
         chosen.get().started(job, now);
+        warmUp.sent(chosen.get().server().id(), now);
         running.put(job.id(), chosen.get());
         bound.add(
             new Binding(
@@ -153,7 +196,9 @@
             .toList();
     List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
     List<ServerLoad> candidates = available.isEmpty() ? open : available;
-    return selection.choose(job, candidates, prefillRate(job.service()), isLarge(now), now);
+    List<ServerLoad> paced =
+        candidates.stream().filter(load -> warmUp.isPaced(load.server().id(), now)).toList();
+    return selection.choose(job, candidates, paced, prefillRate(job.service()), isLarge(now), now);
   }
 
   private PrefillRate prefillRate(ServiceName service) {
@@ -174,7 +219,10 @@
   }
 
   private int capacity(ServerLoad load, long now) {
-    int usable = notices.usableSlots(load.server().id(), slots(load), now);
+    BackendServerId id = load.server().id();
+    int usable =
+        Math.min(
+            notices.usableSlots(id, slots(load), now), warmUp.usableSlots(id, slots(load), now));
     return isLarge(now) ? usable * LARGE_FLEET_CAPACITY_FACTOR : usable;
   }
 
@@ -198,7 +246,11 @@
 
   /** Records the end of a job's attempt; an unknown job is ignored. */
   public void ended(RequestId id, AttemptResult end, long now) {
-    Optional.ofNullable(running.remove(id)).ifPresent(load -> load.ended(id, end, now));
+    ServerLoad load = running.remove(id);
+    if (load != null) {
+      load.ended(id, end, now);
+      warmUp.ended(load.server().id(), end, now);
+    }
   }
 
   /** Removes a waiting job; returns whether it was still waiting. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerNotices.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerNotices.java
@@ -54,10 +54,10 @@
       return 0;
     }
     Long end = pausedUntil.get(server);
-    if (end == null || now - end >= RESUMPTION_NANOS) {
+    if (end == null) {
       return slots;
     }
-    return now < end ? 0 : (int) Math.max(1, slots * (now - end) / RESUMPTION_NANOS);
+    return now < end ? 0 : SlotRamp.usableSlots(1, slots, now - end, RESUMPTION_NANOS);
   }
 
   /** Returns the earliest end of the servers' pauses, or empty if one of them has no pause. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
@@ -51,15 +51,20 @@
   /**
    * Returns the server with the lowest cost among the preferred ones and, in a large fleet, a few
    * sampled ones; empty if there are no candidates.
+   *
+   * @param paced candidates that are always compared, since they get few requests of few entries
    */
   Optional<ServerLoad> choose(
       FleetJob job,
       List<ServerLoad> candidates,
+      List<ServerLoad> paced,
       PrefillRate prefillRate,
       boolean isLargeFleet,
       long now) {
     List<ServerLoad> preferred = preferredServers(job, candidates, isLargeFleet);
-    return Stream.concat(preferred.stream(), sampledCandidates(job, candidates, isLargeFleet))
+    Stream<ServerLoad> sampled = sampledCandidates(job, candidates, isLargeFleet);
+    return Stream.of(preferred.stream(), sampled, paced.stream())
+        .flatMap(loads -> loads)
         .min(
             Comparator.comparingDouble(
                 load ->
