--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
@@ -23,6 +24,7 @@
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.ServerNotices;
+import org.endivemux.routing.fleet.WarmUpLimit;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
@@ -40,7 +42,7 @@
   private static final long RETRY_AFTER_SPREAD_MILLIS = 750;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** How often waiting requests are bound while a server gets back to all of its slots. */
+  /** How often waiting requests are bound while the usable slots of a server grow. */
   private static final Duration RESUMPTION_STEP = Duration.ofMillis(50);
 
   private final Object lock = new Object();
@@ -50,6 +52,7 @@
   private final Scheduler timers;
   private final Map<RequestId, Sinks.One<Binding>> waiting = new HashMap<>();
   private Set<FailureDomain> evacuated = Set.of();
+  private final AtomicBoolean warmUpStepPending = new AtomicBoolean();
 
   /**
    * @param notices what servers have said of themselves; the scheduler reads the same
@@ -70,10 +73,14 @@
     bind();
   }
 
-  /** Replaces the list of backend servers. */
-  public void updateServers(List<GatewayServer> servers) {
+  /**
+   * Replaces the list of backend servers.
+   *
+   * @param trueMillis true time now, in Unix milliseconds
+   */
+  public void updateServers(List<GatewayServer> servers, long trueMillis) {
     synchronized (lock) {
-      scheduler.updateServers(servers);
+      scheduler.updateServers(servers, nanos.getAsLong(), trueMillis);
     }
     bind();
   }
@@ -93,9 +100,6 @@
     }
     logger.atInfo().log("event=evacuation_applied evacuated=%s ended=%s", domains, ended);
     bind();
-    if (!ended.isEmpty()) {
-      var unused = bindRepeatedly(Duration.ZERO, ServerNotices.RETURN_NANOS).subscribe();
-    }
   }
 
   /** Returns the number of evacuated failure domains. */
@@ -236,10 +240,19 @@
 
   private void bind() {
     List<Binding> bound;
+    List<WarmUpLimit.Decision> decisions;
     List<FleetJob> unserved;
+    boolean awaitsWarmUp;
     synchronized (lock) {
-      bound = scheduler.bind(nanos.getAsLong());
+      long now = nanos.getAsLong();
+      bound = scheduler.bind(now);
       unserved = scheduler.removeEvacuated();
+      decisions = scheduler.takeWarmUpDecisions();
+      awaitsWarmUp = scheduler.awaitsWarmUp(now);
+    }
+    decisions.forEach(ServerPool::log);
+    if (awaitsWarmUp && warmUpStepPending.compareAndSet(false, true)) {
+      var unused = Mono.delay(RESUMPTION_STEP, timers).subscribe(step -> bindAfterWarmUpStep());
     }
     bound.forEach(this::deliver);
     unserved.forEach(this::refuseEvacuated);
@@ -255,6 +268,24 @@
     }
   }
 
+  private void bindAfterWarmUpStep() {
+    warmUpStepPending.set(false);
+    bind();
+  }
+
+  private static void log(WarmUpLimit.Decision decision) {
+    logger.atInfo().log(
+        "event=server_cold backend=%s cause=%s millis=%d",
+        decision.server(), decision.cause(), decision.nanos() / NANOS_PER_MILLI);
+  }
+
+  /** Returns the number of servers that are treated as cold. */
+  public int coldCount() {
+    synchronized (lock) {
+      return scheduler.coldCount(nanos.getAsLong());
+    }
+  }
+
   private void deliver(Binding binding) {
     Sinks.One<Binding> sink;
     synchronized (lock) {
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -90,7 +90,7 @@
   @Example
   void slotsOfAReturningDomainGrow() {
     FleetScheduler scheduler = scheduler();
-    scheduler.updateServers(Fleet.oneInEachDomain().subList(0, 1));
+    scheduler.updateServers(Fleet.oneInEachDomain().subList(0, 1), 0, 0);
     scheduler.updateEvacuated(Set.of(Fleet.DOMAINS.get(0)));
     scheduler.updateEvacuated(Set.of());
     scheduler.evacuationEnded(Fleet.DOMAINS.get(0), 0);
