Place requests by the measured speed of each server

Cause: engines of one deployment work at 0.7 to 1.7 times the usual speed and are slowed 2.5 times for some 600 ms, but one prefill rate served all engines of a service, and the load header was dropped.

Change: platform/ decodes the header into ServerReport; the scheduler learns a static speed per server (ServerSpeed) from first events, gaps between events and, without a prompt, answer times, and combines it with the reported slowdown. Entries share sums of samples of 32 servers with each poll (GatewayPoll.speeds, GatewayPollReply.speeds, optional for the reader). FleetCost divides work by speed; the sampled servers are drawn in proportion to it. All this starts with the first report that has a fourth figure; a test shows that reports without it change no choice.

ServerLoad.firstEventReceived keeps the attempt's start, which the time of plain answers needs.

--- a/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
@@ -14,6 +14,7 @@
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
+import org.endivemux.model.SpeedAt;
 import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.crash.PartVerdicts;
 import org.endivemux.model.gateway.GatewayServer;
@@ -44,9 +45,11 @@
   private final Supplier<List<InFlightAt>> inFlight;
   private final Supplier<List<BackendServerId>> leaving;
   private final Supplier<CrashNews> crashes;
+  private final Supplier<List<SpeedAt>> speeds;
   private final TreeMap<Long, Map<OrganisationId, Long>> windows = new TreeMap<>();
   private final List<Runnable> serverListeners = new CopyOnWriteArrayList<>();
   private final List<Consumer<List<InFlightAt>>> loadListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<List<SpeedAt>>> speedListeners = new CopyOnWriteArrayList<>();
   private final List<Consumer<PartVerdicts>> verdictListeners = new CopyOnWriteArrayList<>();
   private List<GatewayServer> servers = List.of();
   private long serversNumber;
@@ -59,6 +62,7 @@
    * @param inFlight returns what this process has in flight at each backend server
    * @param leaving returns the backend servers that told this process that they leave
    * @param crashes returns what this process knows of crashes of backend servers
+   * @param speeds returns the next samples of server speeds to share
    */
   public GatewaySyncState(
       Clocks clocks,
@@ -66,7 +70,8 @@
       Supplier<List<ServiceLoad>> loads,
       Supplier<List<InFlightAt>> inFlight,
       Supplier<List<BackendServerId>> leaving,
-      Supplier<CrashNews> crashes) {
+      Supplier<CrashNews> crashes,
+      Supplier<List<SpeedAt>> speeds) {
     this.clocks = clocks;
     this.wallClock = new SteadyWallClock(clocks);
     this.windowMillis = windowMillis;
@@ -74,9 +79,21 @@
     this.inFlight = inFlight;
     this.leaving = leaving;
     this.crashes = crashes;
+    this.speeds = speeds;
     this.leaderHeardAtNanos = clocks.nanos();
   }
 
+  /** Creates the state of a process that measures no server speeds. */
+  public GatewaySyncState(
+      Clocks clocks,
+      long windowMillis,
+      Supplier<List<ServiceLoad>> loads,
+      Supplier<List<InFlightAt>> inFlight,
+      Supplier<List<BackendServerId>> leaving,
+      Supplier<CrashNews> crashes) {
+    this(clocks, windowMillis, loads, inFlight, leaving, crashes, List::of);
+  }
+
   /** Returns the best estimate of true time in Unix milliseconds. */
   public synchronized long trueMillis() {
     return hasOffset ? clocks.nanos() / NANOS_PER_MILLI + offsetMillis : wallClock.millis();
@@ -94,14 +111,15 @@
   GatewayPoll poll() {
     List<ServiceLoad> currentLoads = loads.get();
     List<InFlightAt> currentInFlight = inFlight.get();
-    return poll(currentLoads, currentInFlight, leaving.get(), crashes.get());
+    return poll(currentLoads, currentInFlight, leaving.get(), crashes.get(), speeds.get());
   }
 
   private synchronized GatewayPoll poll(
       List<ServiceLoad> currentLoads,
       List<InFlightAt> currentInFlight,
       List<BackendServerId> currentLeaving,
-      CrashNews currentCrashes) {
+      CrashNews currentCrashes,
+      List<SpeedAt> currentSpeeds) {
     List<WindowCount> counts =
         windows.entrySet().stream()
             .flatMap(
@@ -116,7 +134,8 @@
         currentLoads,
         currentInFlight,
         currentLeaving,
-        currentCrashes);
+        currentCrashes,
+        currentSpeeds);
   }
 
   void applyReply(GatewayPollReply reply) {
@@ -131,6 +150,9 @@
     reply
         .inFlight()
         .ifPresent(others -> loadListeners.forEach(listener -> listener.accept(others)));
+    if (!reply.speeds().isEmpty()) {
+      speedListeners.forEach(listener -> listener.accept(reply.speeds()));
+    }
     reply
         .verdicts()
         .ifPresent(verdicts -> verdictListeners.forEach(listener -> listener.accept(verdicts)));
@@ -172,6 +194,11 @@
     loadListeners.add(listener);
   }
 
+  /** Adds a listener for sums of the speed samples of all entries; it must not block. */
+  public void onSpeeds(Consumer<List<SpeedAt>> listener) {
+    speedListeners.add(listener);
+  }
+
   /** Adds a listener for the leader's verdicts about prompt parts; it must not block. */
   public void onVerdicts(Consumer<PartVerdicts> listener) {
     verdictListeners.add(listener);
--- a/control/src/main/java/org/endivemux/control/message/ControlReply.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -1,5 +1,6 @@
 package org.endivemux.control.message;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
@@ -13,6 +14,7 @@
 import org.endivemux.control.state.ViewUpdate;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.InFlightAt;
+import org.endivemux.model.SpeedAt;
 import org.endivemux.model.VmId;
 import org.endivemux.model.crash.PartVerdicts;
 import org.endivemux.model.gateway.ServerListUpdate;
@@ -55,6 +57,7 @@
    * @param inFlight what all other entries have in flight, when there are too many entries for them
    *     to exchange it directly
    * @param verdicts conclusions from crashes of backend servers, when the entry's are out of date
+   * @param speeds sums over all entries for the backend servers whose samples the poll has
    */
   record GatewayPollReply(
       long serversNumber,
@@ -62,12 +65,25 @@
       long millis,
       List<VmId> voters,
       Optional<List<InFlightAt>> inFlight,
-      Optional<PartVerdicts> verdicts) {
+      Optional<PartVerdicts> verdicts,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<SpeedAt> speeds) {
     public GatewayPollReply {
-      // A leader of an earlier version sends none.
+      // A leader of an earlier version sends neither of these.
       verdicts = verdicts == null ? Optional.empty() : verdicts;
+      speeds = speeds == null ? List.of() : List.copyOf(speeds);
       voters = List.copyOf(voters);
     }
+
+    /** Creates a reply without speeds. */
+    public GatewayPollReply(
+        long serversNumber,
+        Optional<ServerListUpdate> servers,
+        long millis,
+        List<VmId> voters,
+        Optional<List<InFlightAt>> inFlight,
+        Optional<PartVerdicts> verdicts) {
+      this(serversNumber, servers, millis, voters, inFlight, verdicts, List.of());
+    }
   }
 
   record SubmitReply(@JsonProperty("answer") CommandResult result) implements ControlReply {}
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -1,5 +1,6 @@
 package org.endivemux.control.message;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.endivemux.model.IdempotencyKey;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.OrganisationId;
+import org.endivemux.model.SpeedAt;
 import org.endivemux.model.UsageLine;
 import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.gateway.ServiceLoad;
@@ -71,6 +73,7 @@
    * @param inFlight what the entry has in flight at each backend server
    * @param leaving backend servers that told the entry that they leave
    * @param crashes what the entry knows of crashes of backend servers
+   * @param speeds samples of the speed of some backend servers, in turn
    */
   record GatewayPoll(
       long serversNumber,
@@ -79,9 +82,11 @@
       List<ServiceLoad> loads,
       List<InFlightAt> inFlight,
       List<BackendServerId> leaving,
-      CrashNews crashes) {
+      CrashNews crashes,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<SpeedAt> speeds) {
     public GatewayPoll {
-      // A process of an earlier version sends neither of these.
+      // A process of an earlier version sends none of these.
+      speeds = speeds == null ? List.of() : List.copyOf(speeds);
       leaving = leaving == null ? List.of() : List.copyOf(leaving);
       crashes = crashes == null ? CrashNews.none() : crashes;
       inFlight = List.copyOf(inFlight);
@@ -91,7 +96,8 @@
 
     /** Returns the part of an entry that has no gateway. */
     public static GatewayPoll none() {
-      return new GatewayPoll(0, List.of(), 0, List.of(), List.of(), List.of(), CrashNews.none());
+      return new GatewayPoll(
+          0, List.of(), 0, List.of(), List.of(), List.of(), CrashNews.none(), List.of());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -208,7 +208,8 @@
         time.millis(),
         voters(),
         loads.inFlightOfOthers(poll.entry().vm()),
-        verdicts(poll));
+        verdicts(poll),
+        loads.speeds().exchange(poll.entry().vm(), poll.gateway().speeds(), clocks.nanos()));
   }
 
   private Optional<PartVerdicts> verdicts(ControlRequest.Poll poll) {
--- a/control/src/main/java/org/endivemux/control/voter/FleetLoad.java
+++ b/control/src/main/java/org/endivemux/control/voter/FleetLoad.java
@@ -24,6 +24,7 @@
   private static final long REPORT_EXPIRY_NANOS = 2_000_000_000L;
 
   private final Map<VmId, Report> reports = new HashMap<>();
+  private final FleetSpeeds speeds = new FleetSpeeds();
   private final TreeMap<Integer, InFlightAt> total = new TreeMap<>();
 
   synchronized void add(VmId vm, List<ServiceLoad> loads, List<InFlightAt> inFlight, long now) {
@@ -37,6 +38,11 @@
     inFlight.forEach(at -> add(at, 1));
   }
 
+  /** Returns what entries have measured of the speed of backend servers. */
+  FleetSpeeds speeds() {
+    return speeds;
+  }
+
   private void removeReport(VmId vm) {
     Report removed = reports.remove(vm);
     if (removed != null) {
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -97,6 +97,7 @@
             new FleetScheduler(settings.domain(), notices), notices, clocks::nanos, timers);
     metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.leaving().size());
     metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
+    metrics.register("servers.speedSpread", (Gauge<Double>) pool::speedSpread);
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
@@ -107,8 +108,10 @@
             pool::loads,
             pool::digest,
             pool::leaving,
-            crashes::news);
+            crashes::news,
+            pool::nextSpeeds);
     syncState.onFleetLoad(pool::updateFleetLoad);
+    syncState.onSpeeds(pool::updateSpeeds);
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), syncState, clocks);
     this.gateway =
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -7,6 +7,7 @@
 import java.util.function.Function;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerReport;
 import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -55,6 +56,7 @@
    * @param addressReassigned whether the address now belongs to another backend server
    * @param leaving whether the backend server states that it leaves
    * @param pause how long the backend server wants no further requests; zero if it does not say
+   * @param report what the backend server states of its load, if it does
    */
   record Response(
       int status,
@@ -63,5 +65,18 @@
       boolean addressReassigned,
       boolean leaving,
       Duration pause,
-      Flux<byte[]> body) {}
+      Optional<ServerReport> report,
+      Flux<byte[]> body) {
+    /** Creates a response that states no load. */
+    public Response(
+        int status,
+        HttpHeaders headers,
+        boolean notRun,
+        boolean addressReassigned,
+        boolean leaving,
+        Duration pause,
+        Flux<byte[]> body) {
+      this(status, headers, notRun, addressReassigned, leaving, pause, Optional.empty(), body);
+    }
+  }
 }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -138,6 +138,7 @@
         progress.headDelivered() ? request.deadline() - MIN_TIME_LEFT_NANOS : refuseAt,
         request.head().prompt(),
         request.longPrompts(),
+        route.gapMillis(),
         progress.usedServers());
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -88,7 +88,9 @@
       StreamReader stream =
           new StreamReader(
               progress, holding, () -> recordFirstEvent(request, progress, id, nanos.getAsLong()));
-      return stream.read(response.status(), response.headers(), response.body());
+      return stream
+          .read(response.status(), response.headers(), response.body())
+          .doOnComplete(() -> pool.streamed(id, stream.eventCount()));
     }
     recordFirstEvent(request, progress, id, sentAt);
     BodyCollector collector = new BodyCollector(holding, MAX_RESPONSE_BYTES);
@@ -106,6 +108,7 @@
     if (!response.pause().isZero()) {
       pool.pauses(server, response.pause());
     }
+    response.report().ifPresent(report -> pool.reported(server, report));
   }
 
   private Flux<ResponsePart> completeResponse(Progress progress, Response response, byte[] bytes) {
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -11,8 +11,10 @@
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Reason;
 import org.endivemux.model.RequestId;
+import org.endivemux.model.SpeedAt;
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerReport;
 import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.AttemptResult;
@@ -140,6 +142,47 @@
             .subscribe(step -> bind());
   }
 
+  /** Records what a server reports of its load. */
+  void reported(GatewayServer server, ServerReport report) {
+    boolean isFirst;
+    synchronized (lock) {
+      isFirst = scheduler.reported(server.id(), report, nanos.getAsLong());
+    }
+    if (isFirst) {
+      logger.atInfo().log(
+          "event=speeds_measured service=%s backend=%s workPercent=%d",
+          server.service(), server.id(), report.workPercent().orElse(0));
+    }
+  }
+
+  /** Records the number of events of a complete stream, before its slot is freed. */
+  void streamed(RequestId id, int events) {
+    synchronized (lock) {
+      scheduler.streamed(id, events, nanos.getAsLong());
+    }
+  }
+
+  /** Returns the samples of server speeds that the next poll of the leader carries. */
+  public List<SpeedAt> nextSpeeds() {
+    synchronized (lock) {
+      return scheduler.nextSpeeds();
+    }
+  }
+
+  /** Updates the sums of the samples of all entries. */
+  public void updateSpeeds(List<SpeedAt> sums) {
+    synchronized (lock) {
+      scheduler.updateSpeeds(sums, nanos.getAsLong());
+    }
+  }
+
+  /** Returns the ratio of the fastest server to the slowest, 1 while no speeds are measured. */
+  public double speedSpread() {
+    synchronized (lock) {
+      return scheduler.speedSpread();
+    }
+  }
+
   /** Returns the servers that have said that they leave. */
   public List<BackendServerId> leaving() {
     synchronized (lock) {
--- a/gateway/src/main/java/org/endivemux/gateway/StreamReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/StreamReader.java
@@ -19,7 +19,7 @@
   private final Progress progress;
   private final ResponseMemory.Holding holding;
   private final Runnable onFirstEvent;
-  private boolean started;
+  private int eventCount;
 
   /**
    * @param holding memory of the event that is not complete yet
@@ -35,14 +35,19 @@
         .concatWith(Flux.defer(this::end));
   }
 
+  /** Returns the number of complete events so far, repeated ones included. */
+  int eventCount() {
+    return eventCount;
+  }
+
   private List<ResponsePart> parts(int status, HttpHeaders headers, byte[] bytes) {
     holding.resize((long) splitter.partialBytes() + bytes.length);
     List<SseEvent> events = splitter.feed(bytes);
     holding.resize(splitter.partialBytes());
-    if (!events.isEmpty() && !started) {
-      started = true;
+    if (!events.isEmpty() && eventCount == 0) {
       onFirstEvent.run();
     }
+    eventCount += events.size();
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     boolean needsHead = !progress.headDelivered();
     events.stream().filter(this::isNew).forEach(event -> deliver(event, out));
@@ -65,7 +70,7 @@
   }
 
   private Flux<ResponsePart> end() {
-    return splitter.isBetweenEvents() && started
+    return splitter.isBetweenEvents() && eventCount > 0
         ? Flux.empty()
         : Flux.error(new BrokenStreamException());
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetCost.java
@@ -16,6 +16,13 @@
   private static final double MILLIS_PER_USED_SLOT = 15;
 
   private static final double CROSS_DOMAIN_MILLIS = 12;
+
+  /**
+   * Wait that a server of another domain must save where servers report slowdowns. Bytes between
+   * domains are expensive there, and this is about an eighth of the shortest target (311 ms).
+   */
+  private static final double MEASURED_CROSS_DOMAIN_MILLIS = 40;
+
   private static final double ERROR_PENALTY_MILLIS = 1500;
 
   /** Repeating the prefill of a shared part costs the whole fleet, not only the waiting caller. */
@@ -39,6 +46,31 @@
         + work(job, load, isPreferred, prefillRate, now);
   }
 
+  /**
+   * Returns the cost where the speed of each server is measured: the work there, the job's own
+   * included, takes as long as the server is slow, and a stream suffers from pauses beyond the
+   * longest one that its route allows.
+   */
+  double measuredMillis(
+      FleetJob job, ServerLoad load, boolean isPreferred, PrefillRate prefillRate, long now) {
+    double speed = load.speed().now(now);
+    double link = load.server().failureDomain().equals(domain) ? 0 : MEASURED_CROSS_DOMAIN_MILLIS;
+    int ownTokens = job.prompt().tokens() - job.prompt().sharedTokens();
+    double work =
+        work(job, load, isPreferred, prefillRate, now) + ownTokens / prefillRate.tokensPerMilli();
+    return link
+        + load.errorShare() * ERROR_PENALTY_MILLIS
+        + work / speed
+        + excessPause(job, load, prefillRate.tokensPerMilli() * speed, now);
+  }
+
+  /** Returns by how much the pending prefill may exceed the longest allowed pause of a stream. */
+  private static double excessPause(
+      FleetJob job, ServerLoad load, double tokensPerMilli, long now) {
+    double pause = load.pendingPrefillTokens(now) / tokensPerMilli;
+    return job.pauseMillis() == 0 ? 0 : Math.max(0, pause - job.pauseMillis());
+  }
+
   private static double work(
       FleetJob job, ServerLoad load, boolean isPreferred, PrefillRate prefillRate, long now) {
     int total = load.total(now);
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
@@ -13,6 +13,7 @@
  * @param urgency rank, 0 is the most urgent
  * @param waitDeadline when the request is refused with a retry hint if no server was found
  * @param longPrompts whether the prompts of the job's route are long
+ * @param pauseMillis longest pause between events that counts as on time; 0 when not declared
  * @param avoid backend servers that earlier attempts of the request have used
  */
 public record FleetJob(
@@ -23,8 +24,22 @@
     long waitDeadline,
     PromptShape prompt,
     boolean longPrompts,
+    long pauseMillis,
     Set<BackendServerId> avoid) {
   public FleetJob {
     avoid = Set.copyOf(avoid);
   }
+
+  /** Creates a job whose route declares no longest pause. */
+  public FleetJob(
+      RequestId id,
+      ServiceName service,
+      int urgency,
+      long arrivedAt,
+      long waitDeadline,
+      PromptShape prompt,
+      boolean longPrompts,
+      Set<BackendServerId> avoid) {
+    this(id, service, urgency, arrivedAt, waitDeadline, prompt, longPrompts, 0, avoid);
+  }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -17,7 +17,9 @@
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.RequestId;
+import org.endivemux.model.SpeedAt;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerReport;
 import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
@@ -55,6 +57,7 @@
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
   private final Map<RequestId, ServerLoad> running = new HashMap<>();
   private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
+  private final ServiceSpeeds speeds = new ServiceSpeeds();
   private long aggregateLoadAt = Long.MIN_VALUE / 2;
 
   /**
@@ -137,10 +140,7 @@
         running.put(job.id(), chosen.get());
         bound.add(
             new Binding(
-                job,
-                chosen.get().server(),
-                copyFrom,
-                prefillRate(job.service()).nanosFor(chosen.get().pendingPrefillTokens(now))));
+                job, chosen.get().server(), copyFrom, expectedPrefillNanos(chosen.get(), now)));
       }
     }
   }
@@ -153,13 +153,33 @@
             .toList();
     List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
     List<ServerLoad> candidates = available.isEmpty() ? open : available;
-    return selection.choose(job, candidates, prefillRate(job.service()), isLarge(now), now);
+    PrefillRate rate = prefillRate(job.service());
+    return usesSpeeds(job.service(), now)
+        ? selection.chooseBySpeed(job, candidates, rate, isLarge(now), now)
+        : selection.choose(job, candidates, rate, isLarge(now), now);
+  }
+
+  private long expectedPrefillNanos(ServerLoad load, long now) {
+    long atUsualSpeed =
+        prefillRate(load.server().service()).nanosFor(load.pendingPrefillTokens(now));
+    return speeds.isOn(load.server().service())
+        ? (long) (atUsualSpeed / load.speed().now(now))
+        : atUsualSpeed;
   }
 
   private PrefillRate prefillRate(ServiceName service) {
     return prefillRates.computeIfAbsent(service, name -> new PrefillRate());
   }
 
+  /**
+   * Returns whether servers are compared by speed. While the sums of a large fleet are lost they
+   * are not: entries that do not see each other's load would all select the fastest servers.
+   */
+  private boolean usesSpeeds(ServiceName service, long now) {
+    boolean areSumsLost = aggregateLoadAt != Long.MIN_VALUE / 2 && !isLarge(now);
+    return speeds.isOn(service) && !areSumsLost;
+  }
+
   private boolean isLarge(long now) {
     return now - aggregateLoadAt < AGGREGATE_LOAD_EXPIRY_NANOS;
   }
@@ -198,7 +218,40 @@
 
   /** Records the end of a job's attempt; an unknown job is ignored. */
   public void ended(RequestId id, AttemptResult end, long now) {
-    Optional.ofNullable(running.remove(id)).ifPresent(load -> load.ended(id, end, now));
+    Optional.ofNullable(running.remove(id))
+        .ifPresent(
+            load -> {
+              speeds.ended(load, id, end, now);
+              load.ended(id, end, now);
+            });
+  }
+
+  /** Records what a server reports of itself; returns whether it switches its service to speeds. */
+  public boolean reported(BackendServerId server, ServerReport report, long now) {
+    return Optional.ofNullable(servers.get(server))
+        .filter(load -> speeds.reported(load, report, now))
+        .isPresent();
+  }
+
+  /** Records that a job's stream is complete; must be called before {@link #ended}. */
+  public void streamed(RequestId id, int events, long now) {
+    Optional.ofNullable(running.get(id))
+        .ifPresent(load -> speeds.streamed(load, id, events - 1, now));
+  }
+
+  /** Returns the samples of server speeds that the next poll of the leader carries. */
+  public List<SpeedAt> nextSpeeds() {
+    return speeds.nextShared(servers.values());
+  }
+
+  /** Updates the sums of the samples of all entries. */
+  public void updateSpeeds(List<SpeedAt> sums, long now) {
+    speeds.update(servers.values(), sums, now);
+  }
+
+  /** Returns the ratio of the fastest server to the slowest, 1 while no speeds are measured. */
+  public double speedSpread() {
+    return speeds.spread(servers.values());
   }
 
   /** Removes a waiting job; returns whether it was still waiting. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/PrefillRate.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/PrefillRate.java
@@ -1,5 +1,7 @@
 package org.endivemux.routing.fleet;
 
+import java.util.OptionalDouble;
+
 /**
  * Estimates how many prompt tokens an engine prefills in a millisecond, from first events.
  *
@@ -22,18 +24,21 @@
   private double tokensPerMilli = INITIAL_TOKENS_PER_MILLI;
 
   /**
-   * Adds a sample.
+   * Adds a sample; returns the natural logarithm of its ratio to the rate before it, or empty if
+   * the sample says little about the rate.
    *
    * @param tokens tokens that the engine had to prefill until the request's first event
    * @param nanos time from sending the request to its first event
    */
-  void observe(long tokens, long nanos) {
+  OptionalDouble observe(long tokens, long nanos) {
     if (tokens < MIN_SAMPLE_TOKENS || nanos <= 0) {
-      return;
+      return OptionalDouble.empty();
     }
     double sample = tokens * NANOS_PER_MILLI / nanos;
+    double ratio = Math.log(sample / tokensPerMilli);
     double moved = sample > tokensPerMilli ? tokensPerMilli * STEP : tokensPerMilli / STEP;
     tokensPerMilli = Math.min(MAX_TOKENS_PER_MILLI, Math.max(MIN_TOKENS_PER_MILLI, moved));
+    return OptionalDouble.of(ratio);
   }
 
   /** Returns how long an engine takes to prefill so many tokens. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayServer;
@@ -35,6 +36,7 @@
   private final Map<String, PeerLoad> peers = new HashMap<>();
   private PeerLoad peerSum = PeerLoad.NONE;
   private final PrefixCacheEstimate prefixCache;
+  private final ServerSpeed speed = new ServerSpeed();
   private GatewayServer server;
   private long pendingPrefillTokens;
   private int failures;
@@ -54,6 +56,10 @@
     server = newer;
   }
 
+  ServerSpeed speed() {
+    return speed;
+  }
+
   int own() {
     return running.size();
   }
@@ -117,19 +123,43 @@
 
   void started(FleetJob job, long now) {
     int uncached = Math.max(0, job.prompt().tokens() - cachedTokens(job.prompt()));
-    running.put(job.id(), new Running(uncached, pendingPrefillTokens(now) + uncached, now));
+    running.put(
+        job.id(),
+        new Running(
+            uncached,
+            pendingPrefillTokens(now) + uncached,
+            now,
+            OptionalLong.empty(),
+            job.prompt().tokens() == 0));
     pendingPrefillTokens += uncached;
     prefixCache.recordSent(job.prompt());
   }
 
   /** Records the first event of an answer, when the prefill is complete. */
   void firstEventReceived(RequestId id, PrefillRate prefillRate, long now) {
-    Optional.ofNullable(running.replace(id, Running.PREFILLED))
-        .ifPresent(
-            known -> {
-              pendingPrefillTokens -= known.pendingPrefillTokens();
-              prefillRate.observe(known.tokensUntilFirstEvent(), now - known.startedAt());
-            });
+    Running known = running.get(id);
+    if (known == null || known.firstEventAt().isPresent()) {
+      return;
+    }
+    running.put(id, known.prefilled(now));
+    pendingPrefillTokens -= known.pendingPrefillTokens();
+    prefillRate
+        .observe(known.tokensUntilFirstEvent(), now - known.startedAt())
+        .ifPresent(ratio -> speed.observe(ratio, now));
+  }
+
+  /** Returns when the first event of an attempt arrived, if one has. */
+  OptionalLong firstEventAt(RequestId id) {
+    Running known = running.get(id);
+    return known == null ? OptionalLong.empty() : known.firstEventAt();
+  }
+
+  /** Returns when an attempt without a prompt started; empty for others. */
+  OptionalLong plainStartedAt(RequestId id) {
+    Running known = running.get(id);
+    return known == null || !known.plain()
+        ? OptionalLong.empty()
+        : OptionalLong.of(known.startedAt());
   }
 
   void ended(RequestId id, AttemptResult end, long now) {
@@ -158,9 +188,18 @@
    * Holds one own attempt.
    *
    * @param tokensUntilFirstEvent tokens of all attempts that were pending when this one started
+   * @param firstEventAt when the first event arrived; empty before that
+   * @param plain whether the request has no prompt
    */
-  private record Running(int pendingPrefillTokens, long tokensUntilFirstEvent, long startedAt) {
-    static final Running PREFILLED = new Running(0, 0, 0);
+  private record Running(
+      int pendingPrefillTokens,
+      long tokensUntilFirstEvent,
+      long startedAt,
+      OptionalLong firstEventAt,
+      boolean plain) {
+    Running prefilled(long now) {
+      return new Running(0, 0, startedAt, OptionalLong.of(now), plain);
+    }
   }
 
   /** Holds what peers have in flight; {@code at} is when the oldest digest arrived. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
@@ -48,6 +48,37 @@
     longPromptServers = new LongPromptServers(listed);
   }
 
+  /**
+   * Returns the server with the lowest cost as {@link #choose} does, where servers differ in speed
+   * and report their slowdown. In a large fleet one server of the job's own group and one of all
+   * are sampled, each in proportion to its usual speed. They are not taken from the entry's domain
+   * first: under a wave of demand that overloads the domain's servers.
+   */
+  Optional<ServerLoad> chooseBySpeed(
+      FleetJob job,
+      List<ServerLoad> candidates,
+      PrefillRate prefillRate,
+      boolean isLargeFleet,
+      long now) {
+    List<ServerLoad> preferred = preferredServers(job, candidates, isLargeFleet);
+    Stream<ServerLoad> sampled =
+        isLargeFleet ? sampledBySpeed(job, candidates) : candidates.stream();
+    return Stream.concat(preferred.stream(), sampled)
+        .min(
+            Comparator.comparingDouble(
+                load ->
+                    cost.measuredMillis(job, load, preferred.contains(load), prefillRate, now)
+                        + (isOfOwnGroup(job, load) ? 0 : OTHER_GROUP_PENALTY_MILLIS)));
+  }
+
+  private Stream<ServerLoad> sampledBySpeed(FleetJob job, List<ServerLoad> candidates) {
+    return Stream.of(
+            SpeedSample.of(job.id(), 0, ownGroup(job, candidates)),
+            SpeedSample.of(job.id(), 1, candidates))
+        .flatMap(Optional::stream)
+        .distinct();
+  }
+
   /**
    * Returns the server with the lowest cost among the preferred ones and, in a large fleet, a few
    * sampled ones; empty if there are no candidates.
