--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -108,6 +108,7 @@
     metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
     metrics.register("domains.evacuated", (Gauge<Integer>) pool::evacuatedCount);
     metrics.register("servers.cold", (Gauge<Integer>) pool::coldCount);
+    metrics.register("servers.speedSpread", (Gauge<Double>) pool::speedSpread);
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
@@ -118,8 +119,10 @@
             pool::loads,
             pool::digest,
             pool::leaving,
-            crashes::news);
+            crashes::news,
+            pool::nextSpeeds);
     syncState.onFleetLoad(pool::updateFleetLoad);
+    syncState.onSpeeds(pool::updateSpeeds);
     this.follower =
         new ViewFollower(control, () -> info(incarnation), new UsageLedger(), syncState, clocks);
     this.stall = new EventLoopStall(clocks::nanos, timers);
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -86,11 +86,16 @@
       ResponseMemory.Holding holding) {
     if (request.route().kind() == RequestKind.STREAM && response.status() == OK) {
       StreamReader stream =
-          new StreamReader(
-              progress, holding, () -> recordFirstEvent(request, progress, id, nanos.getAsLong()));
-      return stream.read(response.status(), response.headers(), response.body());
+          new StreamReader(progress, holding, () -> firstEvent(request, progress, id));
+      return stream
+          .read(response.status(), response.headers(), response.body())
+          .doOnComplete(() -> pool.streamed(id, stream.eventCount()));
     }
-    recordFirstEvent(request, progress, id, sentAt);
+    if (response.status() < FIRST_SERVER_ERROR) {
+      // An error may come without any work, so its time tells nothing about the server's speed.
+      pool.answered(id);
+    }
+    countOnce(request, progress, sentAt);
     BodyCollector collector = new BodyCollector(holding, MAX_RESPONSE_BYTES);
     return response
         .body()
@@ -106,6 +111,7 @@
     if (!response.pause().isZero()) {
       pool.pauses(server, response.pause());
     }
+    response.report().ifPresent(report -> pool.reported(server, report));
   }
 
   private Flux<ResponsePart> completeResponse(Progress progress, Response response, byte[] bytes) {
@@ -122,10 +128,13 @@
     return Flux.just(head, new ResponsePart.Body(bytes));
   }
 
-  /** Records that a request has begun to run; counts it for usage once. */
-  private void recordFirstEvent(
-      AdmittedRequest request, Progress progress, RequestId id, long beganAt) {
+  private void firstEvent(AdmittedRequest request, Progress progress, RequestId id) {
     pool.answered(id);
+    countOnce(request, progress, nanos.getAsLong());
+  }
+
+  /** Counts a request that has begun to run for usage, once over all of its attempts. */
+  private void countOnce(AdmittedRequest request, Progress progress, long beganAt) {
     Optional<OrganisationId> organisation = request.organisation();
     if (organisation.isPresent() && progress.countOnce()) {
       syncState.countStarted(organisation.get(), (nanos.getAsLong() - beganAt) / NANOS_PER_MILLI);
