--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -45,6 +45,8 @@
    */
   private static final int LARGE_FLEET_CAPACITY_FACTOR = 2;
 
+  private static final TreeSet<FleetJob> NO_JOBS = new TreeSet<>(queueOrder());
+
   /** The fleet no longer counts as large when the last sum is this old. */
   private static final long AGGREGATE_LOAD_EXPIRY_NANOS = 3_000_000_000L;
 
@@ -131,20 +133,39 @@
       hasCapacity = chosen.isPresent();
       if (hasCapacity) {
         jobs.remove();
-        Optional<GatewayServer> copyFrom =
-            selection.copyFrom(job, chosen.get(), serversOf(job.service()));
-        chosen.get().started(job, now);
-        running.put(job.id(), chosen.get());
-        bound.add(
-            new Binding(
-                job,
-                chosen.get().server(),
-                copyFrom,
-                prefillRate(job.service()).nanosFor(chosen.get().pendingPrefillTokens(now))));
+        bound.add(started(job, chosen.get(), now));
       }
     }
   }
 
+  private Binding started(FleetJob job, ServerLoad load, long now) {
+    Optional<GatewayServer> copyFrom = selection.copyFrom(job, load, serversOf(job.service()));
+    load.started(job, now);
+    running.put(job.id(), load);
+    return new Binding(
+        job,
+        load.server(),
+        copyFrom,
+        prefillRate(job.service()).nanosFor(load.pendingPrefillTokens(now)));
+  }
+
+  /**
+   * Binds a job to a server with a free slot that is not in backoff, or returns empty if there is
+   * none, if jobs of the service wait, or if the prefill would take too long.
+   */
+  public Optional<Binding> bindNow(FleetJob job, long maxPrefillNanos, long now) {
+    if (!waiting.getOrDefault(job.service(), NO_JOBS).isEmpty()) {
+      return Optional.empty();
+    }
+    return choose(job, now)
+        .filter(load -> !load.isBackingOff(now) && load.total(now) < slots(load))
+        .filter(
+            load ->
+                prefillRate(job.service()).nanosFor(load.prefillTokensWith(job, now))
+                    <= maxPrefillNanos)
+        .map(load -> started(job, load, now));
+  }
+
   private Optional<ServerLoad> choose(FleetJob job, long now) {
     List<ServerLoad> open =
         serversOf(job.service())
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -115,9 +115,18 @@
     return errorShare;
   }
 
+  private int uncachedTokens(FleetJob job) {
+    return Math.max(0, job.prompt().tokens() - cachedTokens(job.prompt()));
+  }
+
+  /** Returns what would be pending if a job started now. */
+  long prefillTokensWith(FleetJob job, long now) {
+    return pendingPrefillTokens(now) + uncachedTokens(job);
+  }
+
   void started(FleetJob job, long now) {
-    int uncached = Math.max(0, job.prompt().tokens() - cachedTokens(job.prompt()));
-    running.put(job.id(), new Running(uncached, pendingPrefillTokens(now) + uncached, now));
+    int uncached = uncachedTokens(job);
+    running.put(job.id(), new Running(uncached, prefillTokensWith(job, now), now));
     pendingPrefillTokens += uncached;
     prefixCache.recordSent(job.prompt());
   }
