Hedged requests: a late first attempt gets a second one beside it

Cause: a caller of a slow server waits for it although another one is free. Change: HedgedAttempt runs a second attempt after the delay of HedgePolicy; the first to emit a part wins, the other one is cancelled before that part is passed on. Progress keeps the markers of all attempts that have not ended, so that maxServers and "not run" hold with two at once. Neither attempt is ended for its silence while both run on the last servers that the route allows. Settings hedgeShare and hedgeQuantile; without them nothing changes. Counters hedges.NAME, lines hedge_sent, hedge_ended, hedge_refused and hedged_try_failed.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -127,6 +127,7 @@
                     settings.retrySlack()),
                 this::entryCount,
                 clocks::nanos),
+            settings.hedgePolicy(),
             plannedStop,
             clocks::nanos,
             timers);
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -15,6 +15,7 @@
 import java.util.stream.Collectors;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.VmId;
+import org.endivemux.routing.fleet.HedgePolicy;
 
 /**
  * Settings of a process that runs the gateway on the users' platform.
@@ -41,6 +42,10 @@
  *     that asks for it; bounds the loss when a server asks for far too long by mistake; 60 if
  *     absent
  * @param entriesLifetimeSeconds how long callers may cache the list of entries
+ * @param hedgeShare requests that an entry may send to a second server before the first one fails,
+ *     as a share of its own requests, from 0 to 1; none if absent or 0
+ * @param hedgeQuantile quantile of a route's first-byte times after which such a request is sent,
+ *     at least 0.5 and less than 1; 0.95 if absent
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
 public record GatewaySettings(
@@ -63,7 +68,10 @@
     double retrySlack,
     double drainSeconds,
     Optional<Double> maxServerPauseSeconds,
-    double entriesLifetimeSeconds) {
+    double entriesLifetimeSeconds,
+    Optional<Double> hedgeShare,
+    Optional<Double> hedgeQuantile) {
+  private static final double DEFAULT_HEDGE_QUANTILE = 0.95;
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final ObjectMapper YAML = YAMLMapper.builder().addModule(new Jdk8Module()).build();
 
@@ -95,9 +103,19 @@
     if (!missing.isEmpty()) {
       throw new SettingsException(file, String.join(", ", missing), "has no value; give it one.");
     }
+    checkHedging(settings, file);
     return settings;
   }
 
+  private static void checkHedging(GatewaySettings settings, Path file) {
+    try {
+      var unused = settings.hedgePolicy();
+    } catch (IllegalArgumentException e) {
+      throw new SettingsException(
+          file, "hedgeShare, hedgeQuantile", "is out of range: " + e.getMessage() + ".");
+    }
+  }
+
   private static GatewaySettings parse(Path file) {
     try {
       return YAML.readValue(file.toFile(), GatewaySettings.class);
@@ -147,6 +165,13 @@
     return millis(maxServerPauseSeconds.orElse(DEFAULT_MAX_SERVER_PAUSE_SECONDS));
   }
 
+  /** Returns when requests are hedged, or empty if they are not. */
+  Optional<HedgePolicy> hedgePolicy() {
+    return hedgeShare
+        .filter(share -> share != 0)
+        .map(share -> new HedgePolicy(share, hedgeQuantile.orElse(DEFAULT_HEDGE_QUANTILE)));
+  }
+
   private static Duration millis(double seconds) {
     return Duration.ofMillis((long) (seconds * 1000));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -15,6 +15,7 @@
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.HostRoute;
 import org.endivemux.model.gateway.OrganisationKeys;
+import org.endivemux.routing.fleet.HedgePolicy;
 import org.endivemux.routing.fleet.PromptSizes;
 import reactor.core.publisher.Flux;
 import reactor.core.scheduler.Scheduler;
@@ -41,6 +42,9 @@
   private final PromptSizes promptSizes = new PromptSizes();
   private volatile RouteTable table = new RouteTable(GatewayConfig.none());
 
+  /**
+   * @param hedgePolicy empty if no request is sent to a second server before the first one fails
+   */
   public Gateway(
       ViewFollower follower,
       ServerPool pool,
@@ -50,6 +54,7 @@
       GatewayCounters counters,
       IntSupplier entries,
       ServiceRetryAllowances retries,
+      Optional<HedgePolicy> hedgePolicy,
       PlannedStop stop,
       LongSupplier nanos,
       Scheduler timers) {
@@ -68,6 +73,7 @@
             () -> table,
             entries,
             retries,
+            hedgePolicy,
             stop,
             nanos,
             timers);
--- a/gateway/src/main/java/org/endivemux/gateway/GatewayCounters.java
+++ b/gateway/src/main/java/org/endivemux/gateway/GatewayCounters.java
@@ -21,6 +21,9 @@
       registry.counter("retries." + reason);
     }
     registry.counter(STRAY_BYTES);
+    for (HedgeOutcome outcome : HedgeOutcome.values()) {
+      registry.counter("hedges." + outcome);
+    }
   }
 
   public void refused(Reason reason) {
@@ -36,6 +39,10 @@
     registry.counter("retries." + reason).inc();
   }
 
+  void hedged(HedgeOutcome outcome) {
+    registry.counter("hedges." + outcome).inc();
+  }
+
   void answered(HostRoute route, long nanos) {
     registry.timer("answers.kind." + route.kind()).update(nanos, TimeUnit.NANOSECONDS);
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Progress.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Progress.java
@@ -1,6 +1,8 @@
 package org.endivemux.gateway;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -17,7 +19,7 @@
   private final Set<BackendServerId> usedServers = new HashSet<>();
   private int attempts;
   private int possibleRuns;
-  private SendMarker currentMarker = new SendMarker();
+  private final List<SendMarker> unsettled = new ArrayList<>();
   private boolean headDelivered;
   private boolean counted;
   private OptionalLong lastEvent;
@@ -35,20 +37,28 @@
   void startAttempt(BackendServerId server, SendMarker marker) {
     attempts++;
     usedServers.add(server);
-    currentMarker = marker;
+    unsettled.add(marker);
   }
 
-  void recordPossibleRun() {
+  /** Records that an attempt has ended and may have run. */
+  void recordPossibleRun(SendMarker marker) {
     possibleRuns++;
+    unsettled.remove(marker);
   }
 
-  void recordNotRun() {
-    currentMarker = new SendMarker();
+  /** Records that an attempt has ended and certainly did not run. */
+  void recordNotRun(SendMarker marker) {
+    unsettled.remove(marker);
   }
 
-  /** Returns whether any attempt, including the current one, may have run or may still run. */
+  /** Returns whether any attempt, including current ones, may have run or may still run. */
   boolean mayHaveRun() {
-    return possibleRuns > 0 || currentMarker.mayHaveSent();
+    return possibleRuns > 0 || unsettled.stream().anyMatch(SendMarker::mayHaveSent);
+  }
+
+  /** Returns how many servers the request may have run on when the current attempts have ended. */
+  int runsWithCurrent() {
+    return possibleRuns + unsettled.size();
   }
 
   void retain(RetainedResponse response) {
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -21,6 +22,7 @@
 import org.endivemux.routing.fleet.AttemptResult;
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.HedgePolicy;
 import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.wire.EarlyEnd;
 import org.endivemux.wire.SendMarker;
@@ -70,6 +72,7 @@
   private final Supplier<RouteTable> table;
   private final IntSupplier entries;
   private final ServiceRetryAllowances retries;
+  private final Hedges hedges;
   private final PlannedStop stop;
   private final LongSupplier nanos;
   private final Scheduler timers;
@@ -84,6 +87,7 @@
       Supplier<RouteTable> table,
       IntSupplier entries,
       ServiceRetryAllowances retries,
+      Optional<HedgePolicy> hedgePolicy,
       PlannedStop stop,
       LongSupplier nanos,
       Scheduler timers) {
@@ -95,6 +99,7 @@
     this.table = table;
     this.entries = entries;
     this.retries = retries;
+    this.hedges = new Hedges(hedgePolicy, pool, retries, counters, nanos, timers);
     this.stop = stop;
     this.nanos = nanos;
     this.timers = timers;
@@ -104,6 +109,7 @@
   Flux<ResponsePart> run(AdmittedRequest request, byte[] body) {
     Progress progress = new Progress(request.head().resumeAfter());
     retries.requested(request.service());
+    hedges.requested();
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
     return EarlyEnd.failOn(
             attempt(request, body, progress),
@@ -116,13 +122,37 @@
     return Flux.defer(
         () -> {
           FleetJob job = job(request, progress);
-          SendMarker marker = new SendMarker();
+          AtomicReference<SendMarker> marker = new AtomicReference<>(new SendMarker());
           return pool.acquire(job)
-              .flatMapMany(binding -> send(request, body, progress, binding, marker))
-              .onErrorResume(error -> retryOrFail(request, body, progress, marker, error));
+              .flatMapMany(binding -> sendHedged(request, body, progress, binding, marker))
+              .onErrorResume(error -> retryOrFail(request, body, progress, marker.get(), error));
         });
   }
 
+  /**
+   * Sends a request, and to a second server when the first one is late and hedging applies.
+   *
+   * @param marker is set to that of the second attempt if its failure ends both
+   */
+  private Flux<ResponsePart> sendHedged(
+      AdmittedRequest request,
+      byte[] body,
+      Progress progress,
+      Binding binding,
+      AtomicReference<SendMarker> marker) {
+    if (!hedges.applyTo(request, progress)) {
+      return send(request, body, progress, binding, marker.get());
+    }
+    return new HedgedAttempt(
+            request,
+            progress,
+            hedges,
+            () -> job(request, progress),
+            (server, sent) -> send(request, body, progress, server, sent),
+            marker)
+        .run(binding);
+  }
+
   private FleetJob job(AdmittedRequest request, Progress progress) {
     HostRoute route = request.route();
     long target = route.targetMillis() * NANOS_PER_MILLI;
@@ -195,7 +225,7 @@
   private Flux<ResponsePart> withTimeouts(
       AdmittedRequest request, Progress progress, Binding binding, Flux<ResponsePart> parts) {
     HostRoute route = request.route();
-    if (!route.repeatable() || progress.possibleRuns() + 1 >= route.maxServers()) {
+    if (!route.repeatable() || progress.runsWithCurrent() >= route.maxServers()) {
       return parts;
     }
     long first =
@@ -205,7 +235,14 @@
                 FIRST_BYTE_TIMEOUT_PREFILLS * binding.expectedPrefillNanos()),
             (long) (route.targetMillis() * NANOS_PER_MILLI * FIRST_BYTE_TIMEOUT_TARGETS));
     long gap = Math.max(MIN_GAP_TIMEOUT_NANOS, 2 * route.gapMillis() * NANOS_PER_MILLI);
-    return new SilenceTimeout(first, gap, () -> retries.hasRepeat(request.service()), nanos, timers)
+    return new SilenceTimeout(
+            first,
+            gap,
+            () ->
+                progress.runsWithCurrent() < route.maxServers()
+                    && retries.hasRepeat(request.service()),
+            nanos,
+            timers)
         .guard(parts);
   }
 
@@ -218,9 +255,9 @@
         new FailedAttempt(
             marker.mayHaveSent(), AttemptFailure.failureOf(error), progress.deliveredPart());
     if (failed.mayHaveRun()) {
-      progress.recordPossibleRun();
+      progress.recordPossibleRun(marker);
     } else {
-      progress.recordNotRun();
+      progress.recordNotRun(marker);
     }
     Optional<RetryReason> reason =
         RetryPolicy.reason(failed, mayRepeat(request.route(), progress))
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.endivemux.model.BackendServerId;
@@ -96,6 +97,16 @@
         });
   }
 
+  /**
+   * Binds a job to a backend server without waiting; empty if there is none with a free slot, if
+   * requests of the service wait, or if the prefill would take too long.
+   */
+  Optional<Binding> tryAcquire(FleetJob job, Duration maxPrefill) {
+    synchronized (lock) {
+      return scheduler.bindNow(job, maxPrefill.toNanos(), nanos.getAsLong());
+    }
+  }
+
   /** Returns when servers take requests again, if a job that still waits would be too late then. */
   private OptionalLong pauseEndAfter(FleetJob job) {
     synchronized (lock) {
--- a/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
+++ b/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
@@ -18,6 +18,7 @@
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.routing.fleet.ServerNotices;
+import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
 /** Makes requests, routes and servers for tests. Stateless. */
@@ -63,8 +64,11 @@
   }
 
   static ServerPool pool(LongSupplier nanos) {
+    return pool(nanos, Schedulers.parallel());
+  }
+
+  static ServerPool pool(LongSupplier nanos, Scheduler timers) {
     ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
-    return new ServerPool(
-        new FleetScheduler(DOMAIN, notices), notices, nanos, Schedulers.parallel());
+    return new ServerPool(new FleetScheduler(DOMAIN, notices), notices, nanos, timers);
   }
 }
--- a/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
@@ -107,6 +107,7 @@
         () -> 1,
         new ServiceRetryAllowances(
             new ServiceRetryAllowances.Limits(0.2, 10, 50), () -> 1, nanos::get),
+        Optional.empty(),
         new PlannedStop(),
         nanos::get,
         Schedulers.parallel());
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -95,6 +95,7 @@
             () -> 1,
             new ServiceRetryAllowances(
                 new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
+            Optional.empty(),
             stop,
             System::nanoTime,
             Schedulers.parallel());
