--- a/gateway/src/main/java/org/endivemux/gateway/Hedges.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Hedges.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.endivemux.model.gateway.HostRoute;
@@ -11,6 +13,8 @@
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.HedgePolicy;
+import org.endivemux.wire.SendMarker;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 
@@ -52,12 +56,33 @@
     policy.ifPresent(HedgePolicy::requested);
   }
 
+  /**
+   * Runs an attempt at a bound server, and a second one beside it when hedging applies and the
+   * first one is late.
+   *
+   * @param nextJob makes the job of the second attempt
+   * @param send runs an attempt at a bound server and frees its slot at the end
+   * @param marker holds the marker of the first attempt; is set to that of the attempt whose error
+   *     ends the response
+   */
+  Flux<ResponsePart> run(
+      AdmittedRequest request,
+      Progress progress,
+      Binding binding,
+      Supplier<FleetJob> nextJob,
+      BiFunction<Binding, SendMarker, Flux<ResponsePart>> send,
+      AtomicReference<SendMarker> marker) {
+    return applyTo(request, progress)
+        ? new HedgedAttempt(request, progress, this, nextJob, send, marker).run(binding)
+        : send.apply(binding, marker.get());
+  }
+
   /**
    * Returns whether the next attempt may be hedged: the first one of a request that may run on two
    * servers. A stream that the caller resumes may end without a new event, which would look like a
    * failure.
    */
-  boolean applyTo(AdmittedRequest request, Progress progress) {
+  private boolean applyTo(AdmittedRequest request, Progress progress) {
     HostRoute route = request.route();
     return policy.isPresent()
         && route.repeatable()
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -124,35 +124,19 @@
           FleetJob job = job(request, progress);
           AtomicReference<SendMarker> marker = new AtomicReference<>(new SendMarker());
           return pool.acquire(job)
-              .flatMapMany(binding -> sendHedged(request, body, progress, binding, marker))
+              .flatMapMany(
+                  binding ->
+                      hedges.run(
+                          request,
+                          progress,
+                          binding,
+                          () -> job(request, progress),
+                          (server, sent) -> send(request, body, progress, server, sent),
+                          marker))
               .onErrorResume(error -> retryOrFail(request, body, progress, marker.get(), error));
         });
   }
 
-  /**
-   * Sends a request, and to a second server when the first one is late and hedging applies.
-   *
-   * @param marker is set to that of the second attempt if its failure ends both
-   */
-  private Flux<ResponsePart> sendHedged(
-      AdmittedRequest request,
-      byte[] body,
-      Progress progress,
-      Binding binding,
-      AtomicReference<SendMarker> marker) {
-    if (!hedges.applyTo(request, progress)) {
-      return send(request, body, progress, binding, marker.get());
-    }
-    return new HedgedAttempt(
-            request,
-            progress,
-            hedges,
-            () -> job(request, progress),
-            (server, sent) -> send(request, body, progress, server, sent),
-            marker)
-        .run(binding);
-  }
-
   private FleetJob job(AdmittedRequest request, Progress progress) {
     HostRoute route = request.route();
     long target = route.targetMillis() * NANOS_PER_MILLI;
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -130,4 +130,43 @@
     assertThat(scheduler.bind(1499 * Fleet.MILLI)).isEmpty();
     assertThat(scheduler.bind(1500 * Fleet.MILLI)).hasSize(1);
   }
+
+  /** Guards against hedges that overtake requests which wait for the first free slot. */
+  @Example
+  void jobIsNotBoundAtOnceWhileOthersOfItsServiceWait() {
+    FleetScheduler scheduler = scheduler();
+    FleetJob waiting = Fleet.job(1, 1, PromptShape.none());
+    scheduler.offer(waiting);
+    scheduler.updateServers(Fleet.oneInEachDomain());
+    FleetJob job = Fleet.job(2, 0, PromptShape.none());
+    assertThat(scheduler.bindNow(job, Fleet.MILLI, 0)).isEmpty();
+    scheduler.cancelWaiting(waiting);
+    assertThat(scheduler.bindNow(job, Fleet.MILLI, 0)).isPresent();
+  }
+
+  /** Guards against hedges that end later than the attempt which they are to overtake. */
+  @Example
+  void jobIsNotBoundAtOnceWhenItsPrefillTakesTooLong() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.updateServers(Fleet.oneInEachDomain());
+    FleetJob job = Fleet.job(1, 0, Fleet.prompt("s"));
+    assertThat(scheduler.bindNow(job, 30 * Fleet.MILLI, 0)).isEmpty();
+    assertThat(scheduler.loads()).as("nothing is left running").isEmpty();
+    assertThat(scheduler.bindNow(job, 50 * Fleet.MILLI, 0)).isPresent();
+  }
+
+  /** Guards against hedges that wait in the queues of engines without a free slot. */
+  @Example
+  void jobIsNotBoundAtOnceToAnEngineWithoutAFreeSlotInALargeFleet() {
+    FleetScheduler scheduler = scheduler();
+    scheduler.updateServers(Fleet.oneInEachDomain());
+    scheduler.updateAggregateLoad(
+        Fleet.oneInEachDomain().stream()
+            .map(server -> new InFlightAt(InFlightAt.tag(server.id()), 8, 0))
+            .toList(),
+        0);
+    FleetJob job = Fleet.job(1, 0, PromptShape.none());
+    assertThat(scheduler.bindNow(job, Fleet.MILLI, 0)).isEmpty();
+    assertThat(bindOne(scheduler, job, 0).job()).isEqualTo(job);
+  }
 }
