--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -143,6 +143,7 @@
                     settings.retrySlack()),
                 this::entryCount,
                 clocks::nanos),
+            settings.hedgePolicy(),
             plannedStop,
             stall,
             clocks::nanos,
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -16,6 +16,7 @@
 import org.endivemux.model.EntryCapacity;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.VmId;
+import org.endivemux.routing.fleet.HedgePolicy;
 import org.endivemux.routing.fleet.WarmUpLimit;
 
 /**
@@ -49,6 +50,10 @@
  * @param cores processor share of the VM, in cores; with {@code linkMbps} it determines which part
  *     of the callers the entry gets
  * @param linkMbps bandwidth of the VM's link, in Mbit/s
+ * @param hedgeShare requests that an entry may send to a second server before the first one fails,
+ *     as a share of its own requests, from 0 to 1; none if absent or 0
+ * @param hedgeQuantile quantile of a route's first-byte times after which such a request is sent,
+ *     at least 0.5 and less than 1; 0.95 if absent
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
 public record GatewaySettings(
@@ -75,7 +80,10 @@
     Optional<Double> coldSlack,
     double entriesLifetimeSeconds,
     Optional<Double> cores,
-    Optional<Double> linkMbps) {
+    Optional<Double> linkMbps,
+    Optional<Double> hedgeShare,
+    Optional<Double> hedgeQuantile) {
+  private static final double DEFAULT_HEDGE_QUANTILE = 0.95;
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final double DEFAULT_COLD_OVERAGE = 1.5;
   private static final double DEFAULT_COLD_SLACK = 5;
@@ -109,9 +117,19 @@
     if (!missing.isEmpty()) {
       throw new SettingsException(file, String.join(", ", missing), "has no value; give it one.");
     }
+    checkHedging(settings, file);
     return settings;
   }
 
+  private static void checkHedging(GatewaySettings settings, Path file) {
+    try {
+      var unused = settings.hedgePolicy();
+    } catch (IllegalArgumentException e) {
+      throw new SettingsException(
+          file, "hedgeShare, hedgeQuantile", "is out of range: " + e.getMessage() + ".");
+    }
+  }
+
   private static GatewaySettings parse(Path file) {
     try {
       return YAML.readValue(file.toFile(), GatewaySettings.class);
@@ -171,6 +189,13 @@
         coldOverage.orElse(DEFAULT_COLD_OVERAGE), coldSlack.orElse(DEFAULT_COLD_SLACK));
   }
 
+  /** Returns when requests are hedged, or empty if they are not. */
+  Optional<HedgePolicy> hedgePolicy() {
+    return hedgeShare
+        .filter(share -> share != 0)
+        .map(share -> new HedgePolicy(share, hedgeQuantile.orElse(DEFAULT_HEDGE_QUANTILE)));
+  }
+
   private static Duration millis(double seconds) {
     return Duration.ofMillis((long) (seconds * 1000));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -22,6 +23,7 @@
 import org.endivemux.routing.fleet.AttemptResult;
 import org.endivemux.routing.fleet.FleetJob;
 import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.HedgePolicy;
 import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.wire.EarlyEnd;
 import org.endivemux.wire.SendMarker;
@@ -72,6 +74,7 @@
   private final Supplier<RouteTable> table;
   private final IntSupplier entries;
   private final ServiceRetryAllowances retries;
+  private final Hedges hedges;
   private final PlannedStop stop;
   private final EventLoopStall stall;
   private final LongSupplier nanos;
@@ -87,6 +90,7 @@
       Supplier<RouteTable> table,
       IntSupplier entries,
       ServiceRetryAllowances retries,
+      Optional<HedgePolicy> hedgePolicy,
       PlannedStop stop,
       EventLoopStall stall,
       LongSupplier nanos,
@@ -99,6 +103,7 @@
     this.table = table;
     this.entries = entries;
     this.retries = retries;
+    this.hedges = new Hedges(hedgePolicy, pool, retries, counters, nanos, timers);
     this.stop = stop;
     this.stall = stall;
     this.nanos = nanos;
@@ -109,6 +114,7 @@
   Flux<ResponsePart> run(AdmittedRequest request, byte[] body) {
     Progress progress = new Progress(request.head().resumeAfter());
     retries.requested(request.service());
+    hedges.requested();
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
     return EarlyEnd.failOn(
             attempt(request, body, progress),
@@ -125,11 +131,21 @@
           }
           FleetJob job = job(request, progress);
           SendCheck check = stall.newSendCheck();
-          SendMarker marker = new SendMarker(check::isSteady);
+          Supplier<SendMarker> markers = () -> new SendMarker(check::isSteady);
+          AtomicReference<SendMarker> marker = new AtomicReference<>(markers.get());
           return pool.acquire(job)
               .delayUntil(binding -> check.pendingReads().doOnCancel(() -> cancel(job.id())))
-              .flatMapMany(binding -> send(request, body, progress, binding, marker))
-              .onErrorResume(error -> retryOrFail(request, body, progress, marker, error));
+              .flatMapMany(
+                  binding ->
+                      hedges.run(
+                          request,
+                          progress,
+                          binding,
+                          () -> job(request, progress),
+                          (server, sent) -> send(request, body, progress, server, sent),
+                          marker,
+                          markers))
+              .onErrorResume(error -> retryOrFail(request, body, progress, marker.get(), error));
         });
   }
 
@@ -226,7 +242,7 @@
   private Flux<ResponsePart> withTimeouts(
       AdmittedRequest request, Progress progress, Binding binding, Flux<ResponsePart> parts) {
     HostRoute route = request.route();
-    if (!route.repeatable() || progress.possibleRuns() + 1 >= route.maxServers()) {
+    if (!route.repeatable() || progress.runsWithCurrent() >= route.maxServers()) {
       return parts;
     }
     long first =
@@ -236,7 +252,14 @@
                 FIRST_BYTE_TIMEOUT_PREFILLS * binding.expectedPrefillNanos()),
             (long) (route.targetMillis() * NANOS_PER_MILLI * FIRST_BYTE_TIMEOUT_TARGETS));
     long gap = Math.max(MIN_GAP_TIMEOUT_NANOS, 2 * route.gapMillis() * NANOS_PER_MILLI);
-    return new SilenceTimeout(first, gap, () -> retries.hasRepeat(request.service()), nanos, timers)
+    return new SilenceTimeout(
+            first,
+            gap,
+            () ->
+                progress.runsWithCurrent() < route.maxServers()
+                    && retries.hasRepeat(request.service()),
+            nanos,
+            timers)
         .guard(parts);
   }
 
@@ -249,9 +272,9 @@
         new FailedAttempt(
             !marker.tryAbandon(), AttemptFailure.failureOf(error), progress.deliveredPart());
     if (failed.mayHaveRun()) {
-      progress.recordPossibleRun();
+      progress.recordPossibleRun(marker);
     } else {
-      progress.recordNotRun();
+      progress.recordNotRun(marker);
     }
     Optional<RetryReason> reason =
         RetryPolicy.reason(failed, mayRepeat(request.route(), progress))
