--- a/gateway/src/test/java/org/endivemux/gateway/HedgedAttemptTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/HedgedAttemptTest.java
@@ -136,6 +136,16 @@
     assertThat(run.refusal()).isEqualTo(Reason.ANSWER_BROKEN);
   }
 
+  /** Guards against an attempt that is ended for its silence when no further server is allowed. */
+  @Example
+  void silentFirstAttemptGoesOnWhileTheSecondRunsOnTheLastServerAllowed() {
+    backend.then(after(1400, "first")).then(HedgedAttemptTest::silent);
+    run.start(IDEMPOTENT, 3);
+    run.advance(1500);
+    assertThat(run.received).hasToString("200:first");
+    assertThat(backend.calls).hasSize(2);
+  }
+
   /** Guards against "may have run" for a request that both servers certainly did not run. */
   @Example
   void requestThatBothServersRefuseIsStillSentElsewhere() {
--- a/routing/src/test/java/org/endivemux/routing/fleet/HedgePolicyTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/HedgePolicyTest.java
@@ -26,6 +26,8 @@
     Run run = run(new HedgePolicy(SHARE, 0.9), times);
     assertThat(run.slowerThan(5 * FAST)).isLessThan(REQUESTS / 100);
     assertThat(run.hedges).isBetween(REQUESTS / 50, (int) (SHARE * REQUESTS));
+    Run byDefault = run(new HedgePolicy(SHARE, 0.95), times);
+    assertThat(byDefault.slowerThan(5 * FAST)).isLessThan(REQUESTS / 50);
   }
 
   /** Guards against extra work at servers that are all slow already. */
