Admission to engines under overload protection

Cause: a large fleet sends an engine up to twice its slots and orders only by arrival of capacity, so urgent requests wait at engines behind long prompts; and the first waiting job without room stops all behind it. Change, only with the setting overloadProtection (absent: off): EngineRoom decides by slots, open slots for more urgent kinds, a bound on pending prefill from the strictest target, each entry's part of what a sum shows as free, and a floor. FleetScheduler binds every job that has room. StrictestTargets hands it the routes' targets.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -31,6 +31,7 @@
 import org.endivemux.routing.EntryAddresses;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetScheduler;
+import org.endivemux.routing.fleet.OverloadProtection;
 import org.endivemux.routing.fleet.ServerNotices;
 import org.endivemux.wire.PeerLink;
 import reactor.core.Disposable;
@@ -94,9 +95,17 @@
     ServerNotices notices = new ServerNotices(settings.maxServerPause());
     this.pool =
         new ServerPool(
-            new FleetScheduler(settings.domain(), notices), notices, clocks::nanos, timers);
+            new FleetScheduler(
+                settings.domain(),
+                notices,
+                new OverloadProtection(
+                    settings.overloadProtection().orElse(false), this::entryCount)),
+            notices,
+            clocks::nanos,
+            timers);
     metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.leaving().size());
     metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
+    metrics.register("overload.heldBack", (Gauge<Integer>) pool::heldBackCount);
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -41,6 +41,8 @@
  *     that asks for it; bounds the loss when a server asks for far too long by mistake; 60 if
  *     absent
  * @param entriesLifetimeSeconds how long callers may cache the list of entries
+ * @param overloadProtection whether urgent requests are protected when capacity is short; off if
+ *     absent
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
 public record GatewaySettings(
@@ -63,7 +65,8 @@
     double retrySlack,
     double drainSeconds,
     Optional<Double> maxServerPauseSeconds,
-    double entriesLifetimeSeconds) {
+    double entriesLifetimeSeconds,
+    Optional<Boolean> overloadProtection) {
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final ObjectMapper YAML = YAMLMapper.builder().addModule(new Jdk8Module()).build();
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.InFlightAt;
@@ -62,6 +63,7 @@
   public void configure(GatewayConfig config) {
     synchronized (lock) {
       scheduler.updateServices(config.services());
+      scheduler.updateTargets(StrictestTargets.of(config.routes()));
     }
     bind();
   }
@@ -170,6 +172,13 @@
     }
   }
 
+  /** Returns the number of requests that overload protection makes wait. */
+  public int heldBackCount() {
+    synchronized (lock) {
+      return scheduler.heldBackCount();
+    }
+  }
+
   /** Removes a job whose caller left or whose maximum wait has passed. */
   private void withdraw(FleetJob job) {
     boolean bound;
@@ -199,8 +208,13 @@
 
   private void bind() {
     List<Binding> bound;
+    int heldBack;
     synchronized (lock) {
       bound = scheduler.bind(nanos.getAsLong());
+      heldBack = scheduler.heldBackCount();
+    }
+    if (heldBack > 0) {
+      logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("event=held_back requests=%d", heldBack);
     }
     bound.forEach(this::deliver);
   }
--- /dev/null
+++ b/gateway/src/main/java/org/endivemux/gateway/StrictestTargets.java
@@ -0,0 +1,34 @@
+package org.endivemux.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import org.endivemux.model.gateway.HostRoute;
+import org.endivemux.model.gateway.ServiceName;
+
+/** Finds the strictest target of each urgency at each service. Stateless. */
+final class StrictestTargets {
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+
+  private StrictestTargets() {}
+
+  /** Returns targets in nanoseconds; routes without a target have no part in them. */
+  static Map<ServiceName, NavigableMap<Integer, Long>> of(List<HostRoute> routes) {
+    Map<ServiceName, NavigableMap<Integer, Long>> strictest = new HashMap<>();
+    routes.stream().filter(route -> route.targetMillis() > 0).forEach(r -> add(r, strictest));
+    return strictest;
+  }
+
+  private static void add(
+      HostRoute route, Map<ServiceName, NavigableMap<Integer, Long>> strictest) {
+    route
+        .shares()
+        .forEach(
+            share ->
+                strictest
+                    .computeIfAbsent(share.service(), none -> new TreeMap<>())
+                    .merge(route.priority(), route.targetMillis() * NANOS_PER_MILLI, Math::min));
+  }
+}
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -5,9 +5,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
@@ -50,6 +51,8 @@
 
   private final ServerSelection selection;
   private final ServerNotices notices;
+  private final OverloadProtection protection;
+  private final Map<ServiceName, EngineRoom> rooms = new HashMap<>();
   private final Map<ServiceName, ServiceSpec> specs = new HashMap<>();
   private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
@@ -71,9 +74,30 @@
       Optional<GatewayServer> copyFrom,
       long expectedPrefillNanos) {}
 
+  /** Creates a scheduler without overload protection. */
   public FleetScheduler(FailureDomain domain, ServerNotices notices) {
+    this(domain, notices, OverloadProtection.off());
+  }
+
+  public FleetScheduler(
+      FailureDomain domain, ServerNotices notices, OverloadProtection protection) {
     this.selection = new ServerSelection(domain);
     this.notices = notices;
+    this.protection = protection;
+  }
+
+  /**
+   * Replaces the strictest target of each urgency at each service, in nanoseconds. Used only under
+   * overload protection.
+   */
+  public void updateTargets(Map<ServiceName, NavigableMap<Integer, Long>> strictest) {
+    rooms.forEach((name, room) -> room.updateTargets(new TreeMap<>()));
+    strictest.forEach((name, targets) -> room(name).updateTargets(targets));
+  }
+
+  private EngineRoom room(ServiceName service) {
+    return rooms.computeIfAbsent(
+        service, name -> new EngineRoom(protection.entries(), prefillRate(name)));
   }
 
   /** Replaces the declared services. */
@@ -107,6 +131,9 @@
   /** Queues a job until {@link #bind} selects its server. */
   public void offer(FleetJob job) {
     waiting.computeIfAbsent(job.service(), service -> new TreeSet<>(queueOrder())).add(job);
+    if (protection.enabled()) {
+      room(job.service()).offered(job, job.arrivedAt());
+    }
   }
 
   private static Comparator<FleetJob> queueOrder() {
@@ -122,7 +149,11 @@
     return bound;
   }
 
-  private void bind(Set<FleetJob> queue, List<Binding> bound, long now) {
+  private void bind(NavigableSet<FleetJob> queue, List<Binding> bound, long now) {
+    if (protection.enabled()) {
+      bindAllWithRoom(queue, bound, now);
+      return;
+    }
     var jobs = queue.iterator();
     boolean hasCapacity = true;
     while (jobs.hasNext() && hasCapacity) {
@@ -131,29 +162,63 @@
       hasCapacity = chosen.isPresent();
       if (hasCapacity) {
         jobs.remove();
-        Optional<GatewayServer> copyFrom =
-            selection.copyFrom(job, chosen.get(), serversOf(job.service()));
-        chosen.get().started(job, now);
-        running.put(job.id(), chosen.get());
-        bound.add(
-            new Binding(
-                job,
-                chosen.get().server(),
-                copyFrom,
-                prefillRate(job.service()).nanosFor(chosen.get().pendingPrefillTokens(now))));
+        bound.add(start(job, chosen.get(), now));
+      }
+    }
+  }
+
+  /** Binds every job that has room, also behind jobs that have none. */
+  private void bindAllWithRoom(NavigableSet<FleetJob> queue, List<Binding> bound, long now) {
+    if (queue.isEmpty()) {
+      return;
+    }
+    FleetJob last = queue.last();
+    List<ServerLoad> listed = serversOf(last.service()).toList();
+    room(last.service()).startPass(listed, load -> usableSlots(load, now), last, isLarge(now), now);
+    JobsWithoutRoom without = new JobsWithoutRoom();
+    var jobs = queue.iterator();
+    while (jobs.hasNext()) {
+      FleetJob job = jobs.next();
+      Optional<ServerLoad> chosen = without.covers(job) ? Optional.empty() : choose(job, now);
+      if (chosen.isPresent()) {
+        jobs.remove();
+        room(job.service()).started(job, chosen.get().uncachedTokens(job.prompt()));
+        bound.add(start(job, chosen.get(), now));
+      } else {
+        without.add(job);
       }
     }
   }
 
+  private Binding start(FleetJob job, ServerLoad chosen, long now) {
+    Optional<GatewayServer> copyFrom = selection.copyFrom(job, chosen, serversOf(job.service()));
+    chosen.started(job, now);
+    running.put(job.id(), chosen);
+    return new Binding(
+        job,
+        chosen.server(),
+        copyFrom,
+        prefillRate(job.service()).nanosFor(chosen.pendingPrefillTokens(now)));
+  }
+
   private Optional<ServerLoad> choose(FleetJob job, long now) {
     List<ServerLoad> open =
         serversOf(job.service())
             .filter(load -> !job.avoid().contains(load.server().id()))
-            .filter(load -> load.total(now) < capacity(load, now))
+            .filter(load -> hasRoom(job, load, now))
             .toList();
     List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
     List<ServerLoad> candidates = available.isEmpty() ? open : available;
-    return selection.choose(job, candidates, prefillRate(job.service()), isLarge(now), now);
+    List<ServerLoad> preferable =
+        protection.enabled() ? serversOf(job.service()).toList() : candidates;
+    return selection.choose(
+        job, candidates, preferable, prefillRate(job.service()), isLarge(now), now);
+  }
+
+  private boolean hasRoom(FleetJob job, ServerLoad load, long now) {
+    return protection.enabled()
+        ? room(job.service()).admits(job, load, usableSlots(load, now), now)
+        : load.total(now) < capacity(load, now);
   }
 
   private PrefillRate prefillRate(ServiceName service) {
@@ -174,10 +239,14 @@
   }
 
   private int capacity(ServerLoad load, long now) {
-    int usable = notices.usableSlots(load.server().id(), slots(load), now);
+    int usable = usableSlots(load, now);
     return isLarge(now) ? usable * LARGE_FLEET_CAPACITY_FACTOR : usable;
   }
 
+  private int usableSlots(ServerLoad load, long now) {
+    return notices.usableSlots(load.server().id(), slots(load), now);
+  }
+
   /**
    * Returns when the first server of a service takes requests again, or empty unless all of them
    * have asked for a pause.
@@ -198,7 +267,12 @@
 
   /** Records the end of a job's attempt; an unknown job is ignored. */
   public void ended(RequestId id, AttemptResult end, long now) {
-    Optional.ofNullable(running.remove(id)).ifPresent(load -> load.ended(id, end, now));
+    Optional.ofNullable(running.remove(id))
+        .ifPresent(
+            load -> {
+              load.ended(id, end, now);
+              room(load.server().service()).ended();
+            });
   }
 
   /** Removes a waiting job; returns whether it was still waiting. */
@@ -220,6 +294,7 @@
   /** Replaces the sum of what all other entries have in flight, in a fleet of many entries. */
   public void updateAggregateLoad(List<InFlightAt> inFlight, long now) {
     aggregateLoadAt = now;
+    rooms.values().forEach(room -> room.sumArrived(now));
     peerDigest(ALL_OTHER_ENTRIES, inFlight, now);
   }
 
@@ -234,6 +309,11 @@
         .toList();
   }
 
+  /** Returns the number of jobs that overload protection makes wait; 0 without it. */
+  public int heldBackCount() {
+    return protection.enabled() ? waiting.values().stream().mapToInt(TreeSet::size).sum() : 0;
+  }
+
   /** Returns the number of waiting and running jobs for each service. */
   public List<ServiceLoad> loads() {
     Map<ServiceName, Integer> counts = new TreeMap<>();
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -111,12 +111,17 @@
     return prefixCache.cachedTokens(prompt);
   }
 
+  /** Returns how many tokens of a prompt the engine has to prefill. */
+  int uncachedTokens(PromptShape prompt) {
+    return Math.max(0, prompt.tokens() - cachedTokens(prompt));
+  }
+
   double errorShare() {
     return errorShare;
   }
 
   void started(FleetJob job, long now) {
-    int uncached = Math.max(0, job.prompt().tokens() - cachedTokens(job.prompt()));
+    int uncached = uncachedTokens(job.prompt());
     running.put(job.id(), new Running(uncached, pendingPrefillTokens(now) + uncached, now));
     pendingPrefillTokens += uncached;
     prefixCache.recordSent(job.prompt());
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
@@ -58,7 +58,22 @@
       PrefillRate prefillRate,
       boolean isLargeFleet,
       long now) {
-    List<ServerLoad> preferred = preferredServers(job, candidates, isLargeFleet);
+    return choose(job, candidates, candidates, prefillRate, isLargeFleet, now);
+  }
+
+  /**
+   * Does the same when only some servers have room for the job, without changing which ones it
+   * prefers: otherwise shared parts would be read again wherever the preferred servers are busy.
+   */
+  Optional<ServerLoad> choose(
+      FleetJob job,
+      List<ServerLoad> candidates,
+      List<ServerLoad> listed,
+      PrefillRate prefillRate,
+      boolean isLargeFleet,
+      long now) {
+    List<ServerLoad> preferred =
+        preferredServers(job, listed, isLargeFleet).stream().filter(candidates::contains).toList();
     return Stream.concat(preferred.stream(), sampledCandidates(job, candidates, isLargeFleet))
         .min(
             Comparator.comparingDouble(
