--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -32,6 +32,7 @@
 import org.endivemux.routing.EntryAddresses;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.FleetScheduler;
+import org.endivemux.routing.fleet.OverloadProtection;
 import org.endivemux.routing.fleet.ServerNotices;
 import org.endivemux.routing.fleet.WarmUpLimit;
 import org.endivemux.wire.PeerLink;
@@ -100,7 +101,8 @@
             new FleetScheduler(
                 settings.domain(),
                 notices,
-                new WarmUpLimit(settings.peerId(), this::liveEntries, settings.coldBounds())),
+                new WarmUpLimit(settings.peerId(), this::liveEntries, settings.coldBounds()),
+                new OverloadProtection(settings.isOverloadProtected(), this::entryCount)),
             notices,
             clocks::nanos,
             timers);
@@ -109,6 +111,7 @@
     metrics.register("domains.evacuated", (Gauge<Integer>) pool::evacuatedCount);
     metrics.register("servers.cold", (Gauge<Integer>) pool::coldCount);
     metrics.register("servers.speedSpread", (Gauge<Double>) pool::speedSpread);
+    metrics.register("overload.heldBack", (Gauge<Integer>) pool::heldBackCount);
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -16,6 +16,7 @@
 import org.endivemux.model.EntryCapacity;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.VmId;
+import org.endivemux.platform.PlatformRules;
 import org.endivemux.routing.fleet.HedgePolicy;
 import org.endivemux.routing.fleet.WarmUpLimit;
 
@@ -54,6 +55,9 @@
  *     as a share of its own requests, from 0 to 1; none if absent or 0
  * @param hedgeQuantile quantile of a route's first-byte times after which such a request is sent,
  *     at least 0.5 and less than 1; 0.95 if absent
+ * @param overloadProtection whether urgent requests are protected when capacity is short; if
+ *     absent, they are where the platform's rules bound the memory of backend servers
+ * @param platformRules names of the platform's rules that are in force; none if absent
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
 public record GatewaySettings(
@@ -82,7 +86,9 @@
     Optional<Double> cores,
     Optional<Double> linkMbps,
     Optional<Double> hedgeShare,
-    Optional<Double> hedgeQuantile) {
+    Optional<Double> hedgeQuantile,
+    Optional<Boolean> overloadProtection,
+    List<String> platformRules) {
   private static final double DEFAULT_HEDGE_QUANTILE = 0.95;
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final double DEFAULT_COLD_OVERAGE = 1.5;
@@ -184,6 +190,12 @@
     return millis(maxServerPauseSeconds.orElse(DEFAULT_MAX_SERVER_PAUSE_SECONDS));
   }
 
+  /** Returns whether urgent requests are protected when capacity is short. */
+  boolean isOverloadProtected() {
+    return overloadProtection.orElseGet(
+        () -> platformRules != null && PlatformRules.boundServerMemory(platformRules));
+  }
+
   WarmUpLimit.Bounds coldBounds() {
     return new WarmUpLimit.Bounds(
         coldOverage.orElse(DEFAULT_COLD_OVERAGE), coldSlack.orElse(DEFAULT_COLD_SLACK));
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
 import org.endivemux.model.BackendServerId;
@@ -72,6 +73,7 @@
   public void configure(GatewayConfig config) {
     synchronized (lock) {
       scheduler.updateServices(config.services());
+      scheduler.updateTargets(StrictestTargets.of(config.routes()));
     }
     bind();
   }
@@ -265,6 +267,13 @@
     }
   }
 
+  /** Returns the number of requests that overload protection makes wait. */
+  public int heldBackCount() {
+    synchronized (lock) {
+      return scheduler.heldBackCount();
+    }
+  }
+
   /** Removes a job whose caller left or whose maximum wait has passed. */
   private void withdraw(FleetJob job) {
     boolean bound;
@@ -297,14 +306,19 @@
     List<WarmUpLimit.Decision> decisions;
     List<FleetJob> unserved;
     boolean awaitsWarmUp;
+    int heldBack;
     synchronized (lock) {
       long now = nanos.getAsLong();
       bound = scheduler.bind(now);
       unserved = scheduler.removeEvacuated();
       decisions = scheduler.takeWarmUpDecisions();
       awaitsWarmUp = scheduler.awaitsWarmUp(now);
+      heldBack = scheduler.heldBackCount();
     }
     decisions.forEach(ServerPool::log);
+    if (heldBack > 0) {
+      logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("event=held_back requests=%d", heldBack);
+    }
     if (awaitsWarmUp && warmUpStepPending.compareAndSet(false, true)) {
       var unused = Mono.delay(RESUMPTION_STEP, timers).subscribe(step -> bindAfterWarmUpStep());
     }
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/Candidates.java
@@ -0,0 +1,21 @@
+package org.endivemux.routing.fleet;
+
+import java.util.List;
+
+/**
+ * Holds the servers among which the server of one job is selected. Immutable.
+ *
+ * @param withRoom servers that may be sent the job now
+ * @param listed servers that determine which ones are preferred for shared prompt parts; with
+ *     overload protection also those without room, since otherwise shared parts would be read again
+ *     wherever the preferred servers are busy
+ * @param paced servers with room that are always compared, since they get few requests of few
+ *     entries
+ */
+record Candidates(List<ServerLoad> withRoom, List<ServerLoad> listed, List<ServerLoad> paced) {
+  Candidates {
+    withRoom = List.copyOf(withRoom);
+    listed = List.copyOf(listed);
+    paced = List.copyOf(paced);
+  }
+}
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -55,6 +57,8 @@
   private final ServerSelection selection;
   private final ServerNotices notices;
   private final WarmUpLimit warmUp;
+  private final OverloadProtection protection;
+  private final Map<ServiceName, EngineRoom> rooms = new HashMap<>();
   private final Map<ServiceName, ServiceSpec> specs = new HashMap<>();
   private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
   private final Map<ServiceName, TreeSet<FleetJob>> waiting = new HashMap<>();
@@ -78,16 +82,35 @@
       Optional<GatewayServer> copyFrom,
       long expectedPrefillNanos) {}
 
-  /** Creates a scheduler for services whose servers need no warm-up. */
+  /** Creates a scheduler for servers without a warm-up, without overload protection. */
   public FleetScheduler(FailureDomain domain, ServerNotices notices) {
-    this(domain, notices, WarmUpLimit.withoutEntries());
+    this(domain, notices, WarmUpLimit.withoutEntries(), OverloadProtection.off());
   }
 
   /** Creates a scheduler; {@code warmUp}, which limits cold servers, is used by no other one. */
-  public FleetScheduler(FailureDomain domain, ServerNotices notices, WarmUpLimit warmUp) {
+  public FleetScheduler(
+      FailureDomain domain,
+      ServerNotices notices,
+      WarmUpLimit warmUp,
+      OverloadProtection protection) {
     this.selection = new ServerSelection(domain);
     this.notices = notices;
     this.warmUp = warmUp;
+    this.protection = protection;
+  }
+
+  /**
+   * Replaces the strictest target of each urgency at each service, in nanoseconds. Used only under
+   * overload protection.
+   */
+  public void updateTargets(Map<ServiceName, NavigableMap<Integer, Long>> strictest) {
+    rooms.forEach((name, room) -> room.updateTargets(new TreeMap<>()));
+    strictest.forEach((name, targets) -> room(name).updateTargets(targets));
+  }
+
+  private EngineRoom room(ServiceName service) {
+    return rooms.computeIfAbsent(
+        service, name -> new EngineRoom(protection.entries(), prefillRate(name)));
   }
 
   /** Replaces the declared services. */
@@ -187,6 +210,9 @@
   /** Queues a job until {@link #bind} selects its server. */
   public void offer(FleetJob job) {
     waiting.computeIfAbsent(job.service(), service -> new TreeSet<>(queueOrder())).add(job);
+    if (protection.enabled()) {
+      room(job.service()).offered(job, job.arrivedAt());
+    }
   }
 
   private static Comparator<FleetJob> queueOrder() {
@@ -202,7 +228,11 @@
     return bound;
   }
 
-  private void bind(Set<FleetJob> queue, List<Binding> bound, long now) {
+  private void bind(NavigableSet<FleetJob> queue, List<Binding> bound, long now) {
+    if (protection.enabled()) {
+      bindAllWithRoom(queue, bound, now);
+      return;
+    }
     var jobs = queue.iterator();
     boolean hasCapacity = true;
     while (jobs.hasNext() && hasCapacity) {
@@ -216,6 +246,29 @@
     }
   }
 
+  /** Binds every job that has room, also behind jobs that have none. */
+  private void bindAllWithRoom(NavigableSet<FleetJob> queue, List<Binding> bound, long now) {
+    if (queue.isEmpty()) {
+      return;
+    }
+    FleetJob last = queue.last();
+    List<ServerLoad> listed = serversOf(last.service()).toList();
+    room(last.service()).startPass(listed, load -> usableSlots(load, now), last, isLarge(now), now);
+    JobsWithoutRoom without = new JobsWithoutRoom();
+    var jobs = queue.iterator();
+    while (jobs.hasNext()) {
+      FleetJob job = jobs.next();
+      Optional<ServerLoad> chosen = without.covers(job) ? Optional.empty() : choose(job, now);
+      if (chosen.isPresent()) {
+        jobs.remove();
+        room(job.service()).started(job, chosen.get().uncachedTokens(job.prompt()), now);
+        bound.add(started(job, chosen.get(), now));
+      } else {
+        without.add(job);
+      }
+    }
+  }
+
   private Binding started(FleetJob job, ServerLoad load, long now) {
     Optional<GatewayServer> copyFrom = selection.copyFrom(job, load, serversOf(job.service()));
     load.started(job, now);
@@ -245,16 +298,28 @@
     List<ServerLoad> open =
         serversOf(job.service())
             .filter(load -> !job.avoid().contains(load.server().id()))
-            .filter(load -> load.total(now) < capacity(load, now))
+            .filter(load -> hasRoom(job, load, now))
             .toList();
     List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
     List<ServerLoad> candidates = available.isEmpty() ? open : available;
+    return choose(job, candidates, now);
+  }
+
+  private Optional<ServerLoad> choose(FleetJob job, List<ServerLoad> withRoom, long now) {
+    List<ServerLoad> listed = protection.enabled() ? serversOf(job.service()).toList() : withRoom;
     List<ServerLoad> paced =
-        candidates.stream().filter(load -> warmUp.isPaced(load.server().id(), now)).toList();
+        withRoom.stream().filter(load -> warmUp.isPaced(load.server().id(), now)).toList();
+    Candidates candidates = new Candidates(withRoom, listed, paced);
     PrefillRate rate = prefillRate(job.service());
     return usesSpeeds(job.service(), now)
-        ? selection.chooseBySpeed(job, candidates, paced, rate, isLarge(now), now)
-        : selection.choose(job, candidates, paced, rate, isLarge(now), now);
+        ? selection.chooseBySpeed(job, candidates, rate, isLarge(now), now)
+        : selection.choose(job, candidates, rate, isLarge(now), now);
+  }
+
+  private boolean hasRoom(FleetJob job, ServerLoad load, long now) {
+    return protection.enabled()
+        ? room(job.service()).admits(job, load, usableSlots(load, now), now)
+        : load.total(now) < capacity(load, now);
   }
 
   private long expectedPrefillNanos(ServerLoad load, long now) {
@@ -294,13 +359,16 @@
   }
 
   private int capacity(ServerLoad load, long now) {
-    BackendServerId id = load.server().id();
-    int usable =
-        Math.min(
-            notices.usableSlots(id, slots(load), now), warmUp.usableSlots(id, slots(load), now));
+    int usable = usableSlots(load, now);
     return isLarge(now) ? usable * LARGE_FLEET_CAPACITY_FACTOR : usable;
   }
 
+  private int usableSlots(ServerLoad load, long now) {
+    BackendServerId id = load.server().id();
+    return Math.min(
+        notices.usableSlots(id, slots(load), now), warmUp.usableSlots(id, slots(load), now));
+  }
+
   /**
    * Returns when the first server of a service takes requests again, or empty unless all of them
    * have asked for a pause.
@@ -327,6 +395,7 @@
               speeds.ended(load, id, end, now);
               load.ended(id, end, now);
               warmUp.ended(load.server().id(), end, now);
+              room(load.server().service()).ended();
             });
   }
 
@@ -377,6 +446,7 @@
   /** Replaces the sum of what all other entries have in flight, in a fleet of many entries. */
   public void updateAggregateLoad(List<InFlightAt> inFlight, long now) {
     aggregateLoadAt = now;
+    rooms.values().forEach(room -> room.sumArrived(now));
     peerDigest(ALL_OTHER_ENTRIES, inFlight, now);
   }
 
@@ -387,10 +457,18 @@
         .map(
             load ->
                 new InFlightAt(
-                    InFlightAt.tag(load.server().id()), load.own(), load.ownPendingPrefillTokens()))
+                    InFlightAt.tag(load.server().id()),
+                    load.own(),
+                    load.ownPendingPrefillTokens(),
+                    load.ownHeldTokens()))
         .toList();
   }
 
+  /** Returns the number of jobs that overload protection makes wait; 0 without it. */
+  public int heldBackCount() {
+    return protection.enabled() ? waiting.values().stream().mapToInt(TreeSet::size).sum() : 0;
+  }
+
   /** Returns the number of waiting and running jobs for each service. */
   public List<ServiceLoad> loads() {
     Map<ServiceName, Integer> counts = new TreeMap<>();
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
@@ -48,6 +48,24 @@
     longPromptServers = new LongPromptServers(listed);
   }
 
+  /**
+   * Returns the server with the lowest cost among the preferred ones and, in a large fleet, a few
+   * sampled ones; empty if no candidate has room.
+   */
+  Optional<ServerLoad> choose(
+      FleetJob job,
+      Candidates candidates,
+      PrefillRate prefillRate,
+      boolean isLargeFleet,
+      long now) {
+    return cheapest(
+        job,
+        candidates,
+        sampledCandidates(job, candidates.withRoom(), isLargeFleet),
+        isLargeFleet,
+        (load, isPreferred) -> cost.millis(job, load, isPreferred, prefillRate, now));
+  }
+
   /**
    * Returns the server with the lowest cost as {@link #choose} does, where servers differ in speed
    * and report their slowdown. In a large fleet one server of the job's own group and one of all
@@ -56,55 +74,50 @@
    */
   Optional<ServerLoad> chooseBySpeed(
       FleetJob job,
-      List<ServerLoad> candidates,
-      List<ServerLoad> paced,
+      Candidates candidates,
       PrefillRate prefillRate,
       boolean isLargeFleet,
       long now) {
-    List<ServerLoad> preferred = preferredServers(job, candidates, isLargeFleet);
-    Stream<ServerLoad> sampled =
-        isLargeFleet ? sampledBySpeed(job, candidates) : candidates.stream();
-    return Stream.of(preferred.stream(), sampled, paced.stream())
+    return cheapest(
+        job,
+        candidates,
+        isLargeFleet ? sampledBySpeed(job, candidates.withRoom()) : candidates.withRoom().stream(),
+        isLargeFleet,
+        (load, isPreferred) -> cost.measuredMillis(job, load, isPreferred, prefillRate, now));
+  }
+
+  private Optional<ServerLoad> cheapest(
+      FleetJob job,
+      Candidates candidates,
+      Stream<ServerLoad> sampled,
+      boolean isLargeFleet,
+      ServerCost millis) {
+    List<ServerLoad> preferred =
+        preferredServers(job, candidates.listed(), isLargeFleet).stream()
+            .filter(candidates.withRoom()::contains)
+            .toList();
+    return Stream.of(preferred.stream(), sampled, candidates.paced().stream())
         .flatMap(loads -> loads)
         .min(
             Comparator.comparingDouble(
                 load ->
-                    cost.measuredMillis(job, load, preferred.contains(load), prefillRate, now)
+                    millis.of(load, preferred.contains(load))
                         + (isOfOwnGroup(job, load) ? 0 : OTHER_GROUP_PENALTY_MILLIS)));
   }
 
-  private Stream<ServerLoad> sampledBySpeed(FleetJob job, List<ServerLoad> candidates) {
+  /** Returns the cost of one job at a server, in milliseconds. */
+  private interface ServerCost {
+    double of(ServerLoad load, boolean isPreferred);
+  }
+
+  private Stream<ServerLoad> sampledBySpeed(FleetJob job, List<ServerLoad> withRoom) {
     return Stream.of(
-            SpeedSample.of(job.id(), 0, ownGroup(job, candidates)),
-            SpeedSample.of(job.id(), 1, candidates))
+            SpeedSample.of(job.id(), 0, ownGroup(job, withRoom)),
+            SpeedSample.of(job.id(), 1, withRoom))
         .flatMap(Optional::stream)
         .distinct();
   }
 
-  /**
-   * Returns the server with the lowest cost among the preferred ones and, in a large fleet, a few
-   * sampled ones; empty if there are no candidates.
-   *
-   * @param paced candidates that are always compared, since they get few requests of few entries
-   */
-  Optional<ServerLoad> choose(
-      FleetJob job,
-      List<ServerLoad> candidates,
-      List<ServerLoad> paced,
-      PrefillRate prefillRate,
-      boolean isLargeFleet,
-      long now) {
-    List<ServerLoad> preferred = preferredServers(job, candidates, isLargeFleet);
-    Stream<ServerLoad> sampled = sampledCandidates(job, candidates, isLargeFleet);
-    return Stream.of(preferred.stream(), sampled, paced.stream())
-        .flatMap(loads -> loads)
-        .min(
-            Comparator.comparingDouble(
-                load ->
-                    cost.millis(job, load, preferred.contains(load), prefillRate, now)
-                        + (isOfOwnGroup(job, load) ? 0 : OTHER_GROUP_PENALTY_MILLIS)));
-  }
-
   private List<ServerLoad> preferredServers(
       FleetJob job, List<ServerLoad> candidates, boolean isLargeFleet) {
     return job.prompt()
