Entry: open the callers' port with the first configuration; yield after slow turns

Cause: an entry that starts holds connections in the kernel for seconds while it loads classes and waits for a leader. Requests were read and sent late, after their callers had left: the backlog takes many turns of the event loop that are slow but no stall, and the request was sent in the turn that read it. Change: the port opens when the entry has a configuration, so that callers go elsewhere at once; readiness follows the port. Any turn over 40 ms makes sends wait until closes that are pending have been read.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
@@ -68,6 +68,7 @@
                         clocks,
                         loop,
                         () -> MetricsText.of(metrics),
+                        fatal,
                         metrics));
   }
 
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.endivemux.control.client.ControlClient;
@@ -66,6 +67,7 @@
    */
   private static final double SERVED_LIFETIMES = 1.5;
 
+  private static final Duration OPEN_CHECK_INTERVAL = Duration.ofMillis(20);
   private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(50);
 
   /** Largest number of addresses that callers accept in one answer. */
@@ -82,6 +84,8 @@
   private final EventLoopStall stall;
   private final LoopResources loop;
   private final PlannedStop plannedStop = new PlannedStop();
+  private final Consumer<Throwable> fatal;
+  private volatile boolean acceptsCallers;
 
   GatewayEntry(
       GatewaySettings settings,
@@ -91,8 +95,10 @@
       Clocks clocks,
       LoopResources loop,
       Supplier<String> metricsText,
+      Consumer<Throwable> fatal,
       MetricRegistry metrics) {
     this.settings = settings;
+    this.fatal = fatal;
     this.loop = loop;
     Scheduler timers = Schedulers.fromExecutorService(loop.onServer(true).next());
     ServerNotices notices = new ServerNotices(settings.maxServerPause());
@@ -179,7 +185,7 @@
   }
 
   private boolean isReady() {
-    return gateway.isConfigured() && !plannedStop.isLeaving();
+    return acceptsCallers && !plannedStop.isLeaving();
   }
 
   private EntryInfo info(Incarnation incarnation) {
@@ -209,9 +215,12 @@
     return pool;
   }
 
+  /**
+   * Starts all components; the callers' port is opened when the entry has a configuration. A port
+   * that is open before would hold requests unread while the process starts; one that is closed
+   * sends callers to another entry at once.
+   */
   void start() {
-    stall.start();
-    callers.start(GatewaySettings.address(settings.callersAddress().orElseThrow()), loop);
     settings
         .directoryAddress()
         .ifPresent(address -> directory.start(GatewaySettings.address(address), loop));
@@ -221,6 +230,20 @@
     follower.start();
     digests.start();
     listing.start();
+    var unused =
+        Flux.interval(OPEN_CHECK_INTERVAL, Schedulers.boundedElastic())
+            .onBackpressureDrop()
+            .filter(tick -> gateway.isConfigured())
+            .next()
+            .subscribe(tick -> openCallersPort(), fatal);
+  }
+
+  private void openCallersPort() {
+    String address = settings.callersAddress().orElseThrow();
+    stall.start();
+    callers.start(GatewaySettings.address(address), loop);
+    acceptsCallers = true;
+    logger.atInfo().log("event=callers_accepted address=%s", address);
   }
 
   /** Leaves and drains; completes when no request is in flight or the drain time has passed. */
--- a/gateway/src/main/java/org/endivemux/gateway/EventLoopStall.java
+++ b/gateway/src/main/java/org/endivemux/gateway/EventLoopStall.java
@@ -21,6 +21,9 @@
   /** A VM with 0.12 of a core may be held up for about 90 of each 100 ms in normal service. */
   private static final Duration MIN_STALL = Duration.ofMillis(200);
 
+  /** A turn of the loop that takes this long may leave requests and closes unread behind it. */
+  private static final Duration SLOW_TURN = TICK.multipliedBy(2);
+
   /** The loop accepts a bounded number of connections a turn, so a backlog takes some turns. */
   private static final Duration BACKLOG = Duration.ofMillis(100);
 
@@ -76,6 +79,9 @@
   private synchronized long recordTick() {
     long now = nanos.getAsLong();
     long stalled = isStalled(now) ? now - lastTick : 0;
+    if (isSlowTurn(now)) {
+      backlogReadAt = Math.max(backlogReadAt, now + BACKLOG.toNanos());
+    }
     if (stalled > 0) {
       count++;
       stalledSince = lastTick;
@@ -87,6 +93,10 @@
     return stalled;
   }
 
+  private boolean isSlowTurn(long now) {
+    return started && now - lastTick > SLOW_TURN.toNanos();
+  }
+
   private boolean isStalled(long now) {
     return started && now - lastTick > MIN_STALL.toNanos();
   }
@@ -107,7 +117,7 @@
 
   private synchronized boolean mayHavePendingReads() {
     long now = nanos.getAsLong();
-    return isStalled(now) || (started && backlogReadAt - now > 0);
+    return isSlowTurn(now) || (started && backlogReadAt - now > 0);
   }
 
   /** Returns the checks of one attempt to send a request. */
@@ -124,8 +134,8 @@
     private volatile long countBefore;
 
     /**
-     * Completes when the loop has read what was pending on callers' connections; at once unless it
-     * is or has just been stalled.
+     * Completes when the loop has read what was pending on callers' connections; at once unless a
+     * turn of the loop takes long or has just done so.
      */
     Mono<Void> pendingReads() {
       return Mono.defer(
--- a/gateway/src/test/java/org/endivemux/gateway/EventLoopStallTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/EventLoopStallTest.java
@@ -68,6 +68,22 @@
     assertThat(isRead).isTrue();
   }
 
+  /**
+   * Guards against sends in the turn that read the request, when many short turns add up to a long
+   * backlog and none of them counts as a stall.
+   */
+  @Example
+  void sendInASlowTurnWaitsForLaterTurns() {
+    stall.start();
+    AtomicBoolean isRead = new AtomicBoolean();
+    nanos.addAndGet(Duration.ofMillis(60).toNanos());
+    stall.newSendCheck().pendingReads().subscribe(nothing -> {}, null, () -> isRead.set(true));
+    assertThat(isRead).isFalse();
+    assertThat(stall.earliestArrival()).isEqualTo(nanos.get());
+    run(1);
+    assertThat(isRead).isTrue();
+  }
+
   /** Guards against a send after a stall that began while the connection was being opened. */
   @Example
   void stallBeforeTheFirstByteHoldsTheSendBack() {
