Overload protection: engines only

Cause: a plain service was protected as well. Change: a service without an engine profile is served as before. Result: OverloadTest and FleetSchedulerTest are green.

--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -210,7 +210,7 @@
   /** Queues a job until {@link #bind} selects its server. */
   public void offer(FleetJob job) {
     waiting.computeIfAbsent(job.service(), service -> new TreeSet<>(queueOrder())).add(job);
-    if (protection.enabled()) {
+    if (isProtected(job.service())) {
       room(job.service()).offered(job, job.arrivedAt());
     }
   }
@@ -229,7 +229,7 @@
   }
 
   private void bind(NavigableSet<FleetJob> queue, List<Binding> bound, long now) {
-    if (protection.enabled()) {
+    if (!queue.isEmpty() && isProtected(queue.first().service())) {
       bindAllWithRoom(queue, bound, now);
       return;
     }
@@ -306,7 +306,8 @@
   }
 
   private Optional<ServerLoad> choose(FleetJob job, List<ServerLoad> withRoom, long now) {
-    List<ServerLoad> listed = protection.enabled() ? serversOf(job.service()).toList() : withRoom;
+    List<ServerLoad> listed =
+        isProtected(job.service()) ? serversOf(job.service()).toList() : withRoom;
     List<ServerLoad> paced =
         withRoom.stream().filter(load -> warmUp.isPaced(load.server().id(), now)).toList();
     Candidates candidates = new Candidates(withRoom, listed, paced);
@@ -316,8 +317,14 @@
         : selection.choose(job, candidates, rate, isLarge(now), now);
   }
 
-  private boolean hasRoom(FleetJob job, ServerLoad load, long now) {
+  /** Only model engines have a prefill that urgent requests wait for. */
+  private boolean isProtected(ServiceName service) {
     return protection.enabled()
+        && Optional.ofNullable(specs.get(service)).flatMap(ServiceSpec::engine).isPresent();
+  }
+
+  private boolean hasRoom(FleetJob job, ServerLoad load, long now) {
+    return isProtected(job.service())
         ? room(job.service()).admits(job, load, usableSlots(load, now), now)
         : load.total(now) < capacity(load, now);
   }
