Split FleetScheduler into queues, servers, limits and choice

Change: WaitingJobs, FleetServers, SlotLimits, EngineRooms and ServerChooser take one of these each; Binding is a class of its own. The public methods of FleetScheduler are unchanged, and so is the behaviour. Only names and imports change in tests.

--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -11,7 +11,7 @@
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.RequestKind;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
+import org.endivemux.routing.fleet.Binding;
 import org.endivemux.wire.BoundedBytes;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
--- a/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
@@ -18,8 +18,8 @@
 import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.routing.fleet.Binding;
 import org.endivemux.routing.fleet.FleetJob;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
 import org.endivemux.routing.fleet.PromptShape;
 import reactor.core.publisher.Flux;
 
--- /dev/null
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerChooser.java
@@ -0,0 +1,109 @@
+package org.endivemux.routing.fleet;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceName;
+
+/**
+ * Chooses the server of a job among those that have room for it.
+ *
+ * <p>Invariants: a server that the job avoids is never chosen, and one in backoff only if no other
+ * has room. In a fleet of many entries, whose load is known as sums that are some hundred
+ * milliseconds old, only the job's preferred servers and a few servers sampled by its id are
+ * compared. Holds the learnt prefill rate of each service. Not thread-safe.
+ */
+final class ServerChooser {
+  private final ServerSelection selection;
+  private final FleetServers servers;
+  private final SlotLimits limits;
+  private final WarmUpLimit warmUp;
+  private final ServiceSpeeds speeds;
+  private final EngineRooms rooms;
+  private final Map<ServiceName, PrefillRate> prefillRates = new HashMap<>();
+
+  ServerChooser(
+      FailureDomain domain,
+      FleetServers servers,
+      SlotLimits limits,
+      WarmUpLimit warmUp,
+      ServiceSpeeds speeds,
+      OverloadProtection protection) {
+    this.selection = new ServerSelection(domain);
+    this.servers = servers;
+    this.limits = limits;
+    this.warmUp = warmUp;
+    this.speeds = speeds;
+    this.rooms = new EngineRooms(protection, this::prefillRate);
+  }
+
+  /** Returns the rooms, which decide on jobs under overload protection. */
+  EngineRooms rooms() {
+    return rooms;
+  }
+
+  /** Replaces the list of servers that are selected from. */
+  void updateServers(List<GatewayServer> listed) {
+    selection.updateServers(listed);
+  }
+
+  /** Returns the server of a job, or empty if none has room. */
+  Optional<ServerLoad> choose(FleetJob job, long now) {
+    List<ServerLoad> open =
+        servers
+            .openServers(job.service())
+            .filter(load -> !job.avoid().contains(load.server().id()))
+            .filter(load -> hasRoom(job, load, now))
+            .toList();
+    List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
+    List<ServerLoad> candidates = available.isEmpty() ? open : available;
+    return choose(job, candidates, now);
+  }
+
+  private Optional<ServerLoad> choose(FleetJob job, List<ServerLoad> withRoom, long now) {
+    List<ServerLoad> listed = rooms.isOn() ? servers.openServers(job.service()).toList() : withRoom;
+    List<ServerLoad> paced =
+        withRoom.stream().filter(load -> warmUp.isPaced(load.server().id(), now)).toList();
+    Candidates candidates = new Candidates(withRoom, listed, paced);
+    PrefillRate rate = prefillRate(job.service());
+    return usesSpeeds(job.service(), now)
+        ? selection.chooseBySpeed(job, candidates, rate, limits.isLarge(now), now)
+        : selection.choose(job, candidates, rate, limits.isLarge(now), now);
+  }
+
+  private boolean hasRoom(FleetJob job, ServerLoad load, long now) {
+    return rooms.isOn()
+        ? rooms.of(job.service()).admits(job, load, limits.usableSlots(load, now), now)
+        : load.total(now) < limits.capacity(load, now);
+  }
+
+  /** Returns a server that probably has parts of the prompt cached which the chosen one lacks. */
+  Optional<GatewayServer> copyFrom(FleetJob job, ServerLoad chosen) {
+    return selection.copyFrom(job, chosen, servers.openServers(job.service()));
+  }
+
+  /** Returns the time until a server has prefilled what is pending there. */
+  long expectedPrefillNanos(ServerLoad load, long now) {
+    long atUsualSpeed =
+        prefillRate(load.server().service()).nanosFor(load.pendingPrefillTokens(now));
+    return speeds.isOn(load.server().service())
+        ? (long) (atUsualSpeed / load.speed().now(now))
+        : atUsualSpeed;
+  }
+
+  /** Returns the prefill rate of a service, learnt or not yet. */
+  PrefillRate prefillRate(ServiceName service) {
+    return prefillRates.computeIfAbsent(service, name -> new PrefillRate());
+  }
+
+  /**
+   * Returns whether servers are compared by speed. While the sums of a large fleet are lost they
+   * are not: entries that do not see each other's load would all select the fastest servers.
+   */
+  private boolean usesSpeeds(ServiceName service, long now) {
+    return speeds.isOn(service) && !limits.isAggregateLoadLost(now);
+  }
+}
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSchedulerTest.java
@@ -12,7 +12,6 @@
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.ServerKind;
 import org.endivemux.model.gateway.ServiceLoad;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
 
 /** Tests which jobs are bound, in which order and to which server. */
 final class FleetSchedulerTest {
--- a/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FleetSimulation.java
@@ -13,7 +13,6 @@
 import org.endivemux.model.RequestId;
 import org.endivemux.model.ServerKind;
 import org.endivemux.model.gateway.GatewayServer;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
 
 /**
  * Simulates, in virtual time, many entries that schedule requests onto batching engines.
--- a/routing/src/test/java/org/endivemux/routing/fleet/LongPromptServersTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/LongPromptServersTest.java
@@ -12,7 +12,6 @@
 import net.jqwik.api.constraints.IntRange;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
 
 /** Tests that long prompts, such as month-end summaries, and chats use different servers. */
 final class LongPromptServersTest {
--- a/routing/src/test/java/org/endivemux/routing/fleet/NoticeSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/NoticeSimulation.java
@@ -168,7 +168,7 @@
       scheduler.bind(now).forEach(this::send);
     }
 
-    private void send(FleetScheduler.Binding binding) {
+    private void send(Binding binding) {
       Server server =
           servers.stream().filter(s -> s.listed.equals(binding.server())).findFirst().orElseThrow();
       againstNotice += isAgainstNotice(server) ? 1 : 0;
--- a/routing/src/test/java/org/endivemux/routing/fleet/OverloadSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/OverloadSimulation.java
@@ -15,7 +15,6 @@
 import org.endivemux.model.RequestId;
 import org.endivemux.model.ServerKind;
 import org.endivemux.model.gateway.GatewayServer;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
 
 /**
  * Simulates, in virtual time, entries that send three kinds of requests to the engines of the
--- a/routing/src/test/java/org/endivemux/routing/fleet/ServerSpeedTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/ServerSpeedTest.java
@@ -11,7 +11,6 @@
 import org.endivemux.model.SpeedAt;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerReport;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
 
 /** Tests the estimate of a server's speed from samples and reports. */
 final class ServerSpeedTest {
--- a/routing/src/test/java/org/endivemux/routing/fleet/UnevenFleetSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/UnevenFleetSimulation.java
@@ -16,7 +16,6 @@
 import org.endivemux.model.SpeedAt;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerReport;
-import org.endivemux.routing.fleet.FleetScheduler.Binding;
 
 /**
  * Simulates, in virtual time, many entries and engines of three speeds that are slowed at times.
--- a/routing/src/test/java/org/endivemux/routing/fleet/WarmUpSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/WarmUpSimulation.java
@@ -232,7 +232,7 @@
     }
   }
 
-  private void send(FleetScheduler entry, FleetScheduler.Binding binding) {
+  private void send(FleetScheduler entry, Binding binding) {
     Engine engine =
         engines.stream()
             .filter(it -> it.id.equals(binding.server().id()))
