Split ServerPool: feedback of responses and figures for gauges

Change: ServerFeedback and ServerFigures take these methods, under the same lock. Callers in ResponseReader, GatewayEntry and ServerPoolTest use feedback() and figures(); no check of a test changes. Lines of pauses, leaving and speeds are now written by ServerFeedback, with the same text and keys.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -106,12 +106,12 @@
             notices,
             clocks::nanos,
             timers);
-    metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.leaving().size());
-    metrics.register("servers.paused", (Gauge<Integer>) pool::pausedCount);
+    metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.figures().leaving().size());
+    metrics.register("servers.paused", (Gauge<Integer>) pool.figures()::pausedCount);
     metrics.register("domains.evacuated", (Gauge<Integer>) pool::evacuatedCount);
-    metrics.register("servers.cold", (Gauge<Integer>) pool::coldCount);
-    metrics.register("servers.speedSpread", (Gauge<Double>) pool::speedSpread);
-    metrics.register("overload.heldBack", (Gauge<Integer>) pool::heldBackCount);
+    metrics.register("servers.cold", (Gauge<Integer>) pool.figures()::coldCount);
+    metrics.register("servers.speedSpread", (Gauge<Double>) pool.figures()::speedSpread);
+    metrics.register("overload.heldBack", (Gauge<Integer>) pool.figures()::heldBackCount);
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
@@ -121,9 +121,9 @@
             settings.usageWindow().toMillis(),
             pool::loads,
             pool::digest,
-            pool::leaving,
+            pool.figures()::leaving,
             crashes::news,
-            pool::nextSpeeds);
+            pool.figures()::nextSpeeds);
     syncState.onFleetLoad(pool::updateFleetLoad);
     syncState.onSpeeds(pool::updateSpeeds);
     this.follower =
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -89,11 +89,11 @@
           new StreamReader(progress, holding, () -> firstEvent(request, progress, id));
       return stream
           .read(response.status(), response.headers(), response.body())
-          .doOnComplete(() -> pool.streamed(id, stream.eventCount()));
+          .doOnComplete(() -> pool.feedback().streamed(id, stream.eventCount()));
     }
     if (response.status() < FIRST_SERVER_ERROR) {
       // An error may come without any work, so its time tells nothing about the server's speed.
-      pool.answered(id);
+      pool.feedback().answered(id);
     }
     countOnce(request, progress, sentAt);
     BodyCollector collector = new BodyCollector(holding, MAX_RESPONSE_BYTES);
@@ -106,12 +106,12 @@
 
   private void heed(GatewayServer server, Response response) {
     if (response.leaving()) {
-      pool.leaves(server);
+      pool.feedback().leaves(server);
     }
     if (!response.pause().isZero()) {
-      pool.pauses(server, response.pause());
+      pool.feedback().pauses(server, response.pause());
     }
-    response.report().ifPresent(report -> pool.reported(server, report));
+    response.report().ifPresent(report -> pool.feedback().reported(server, report));
   }
 
   private Flux<ResponsePart> completeResponse(Progress progress, Response response, byte[] bytes) {
@@ -129,7 +129,7 @@
   }
 
   private void firstEvent(AdmittedRequest request, Progress progress, RequestId id) {
-    pool.answered(id);
+    pool.feedback().answered(id);
     countOnce(request, progress, nanos.getAsLong());
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
-import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.InFlightAt;
 import org.endivemux.model.Reason;
@@ -20,7 +19,6 @@
 import org.endivemux.model.SpeedAt;
 import org.endivemux.model.gateway.GatewayConfig;
 import org.endivemux.model.gateway.GatewayServer;
-import org.endivemux.model.gateway.ServerReport;
 import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.routing.LoadDigests;
 import org.endivemux.routing.fleet.AttemptResult;
@@ -29,7 +27,6 @@
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.ServerNotices;
 import org.endivemux.routing.fleet.WarmUpLimit;
-import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.Sinks;
 import reactor.core.scheduler.Scheduler;
@@ -47,11 +44,12 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** How often waiting requests are bound while the usable slots of a server grow. */
-  private static final Duration RESUMPTION_STEP = Duration.ofMillis(50);
+  static final Duration RESUMPTION_STEP = Duration.ofMillis(50);
 
   private final Object lock = new Object();
   private final FleetScheduler scheduler;
-  private final ServerNotices notices;
+  private final ServerFeedback feedback;
+  private final ServerFigures figures;
   private final LongSupplier nanos;
   private final Scheduler timers;
   private final Map<RequestId, Sinks.One<Binding>> waiting = new HashMap<>();
@@ -64,9 +62,20 @@
   public ServerPool(
       FleetScheduler scheduler, ServerNotices notices, LongSupplier nanos, Scheduler timers) {
     this.scheduler = scheduler;
-    this.notices = notices;
     this.nanos = nanos;
     this.timers = timers;
+    this.feedback = new ServerFeedback(lock, scheduler, notices, nanos, timers, this::bind);
+    this.figures = new ServerFigures(lock, scheduler, notices, nanos);
+  }
+
+  /** Returns what records the events of responses. */
+  ServerFeedback feedback() {
+    return feedback;
+  }
+
+  /** Returns the state of the servers for gauges and polls of the leader. */
+  public ServerFigures figures() {
+    return figures;
   }
 
   /** Replaces the declared services. */
@@ -114,13 +123,6 @@
     }
   }
 
-  /** Binds waiting requests while the slots of servers grow, and after that. */
-  private Flux<Long> bindRepeatedly(Duration delay, long growthNanos) {
-    return Flux.interval(delay, RESUMPTION_STEP, timers)
-        .take(growthNanos / RESUMPTION_STEP.toNanos() + 1)
-        .doOnNext(step -> bind());
-  }
-
   /** Waits for a backend server; fails with {@link GatewayRefusal}. */
   Mono<Binding> acquire(FleetJob job) {
     return Mono.defer(
@@ -169,60 +171,6 @@
     return new GatewayRefusal(Reason.TOO_LATE, Math.max(0, millis) + retryAfterMillis(job.id()));
   }
 
-  /** Records that a server said that it leaves; it gets no further requests. */
-  void leaves(GatewayServer server) {
-    boolean isNew;
-    synchronized (lock) {
-      isNew = notices.leaves(server.id(), nanos.getAsLong());
-    }
-    if (isNew) {
-      logger.atInfo().log("event=server_leaving backend=%s", server.id());
-    }
-  }
-
-  /** Records that a server wants no requests for some time. */
-  void pauses(GatewayServer server, Duration length) {
-    long now = nanos.getAsLong();
-    Duration untilEnd;
-    synchronized (lock) {
-      untilEnd = Duration.ofNanos(notices.pauses(server.id(), length, now) - now);
-    }
-    logger.atInfo().log(
-        "event=server_paused backend=%s askedMillis=%d millis=%d",
-        server.id(), length.toMillis(), untilEnd.toMillis());
-    var unused =
-        bindRepeatedly(untilEnd, ServerNotices.RESUMPTION_NANOS)
-            .doOnComplete(() -> logger.atInfo().log("event=server_resumed backend=%s", server.id()))
-            .subscribe();
-  }
-
-  /** Records what a server reports of its load. */
-  void reported(GatewayServer server, ServerReport report) {
-    boolean isFirst;
-    synchronized (lock) {
-      isFirst = scheduler.reported(server.id(), report, nanos.getAsLong());
-    }
-    if (isFirst) {
-      logger.atInfo().log(
-          "event=speeds_measured service=%s backend=%s workPercent=%d",
-          server.service(), server.id(), report.workPercent().orElse(0));
-    }
-  }
-
-  /** Records the number of events of a complete stream, before its slot is freed. */
-  void streamed(RequestId id, int events) {
-    synchronized (lock) {
-      scheduler.streamed(id, events, nanos.getAsLong());
-    }
-  }
-
-  /** Returns the samples of server speeds that the next poll of the leader carries. */
-  public List<SpeedAt> nextSpeeds() {
-    synchronized (lock) {
-      return scheduler.nextSpeeds();
-    }
-  }
-
   /** Updates the sums of the samples of all entries. */
   public void updateSpeeds(List<SpeedAt> sums) {
     synchronized (lock) {
@@ -230,27 +178,6 @@
     }
   }
 
-  /** Returns the ratio of the fastest server to the slowest, 1 while no speeds are measured. */
-  public double speedSpread() {
-    synchronized (lock) {
-      return scheduler.speedSpread();
-    }
-  }
-
-  /** Returns the servers that have said that they leave. */
-  public List<BackendServerId> leaving() {
-    synchronized (lock) {
-      return notices.leaving();
-    }
-  }
-
-  /** Returns the number of servers that have asked for a pause which has not ended. */
-  public int pausedCount() {
-    synchronized (lock) {
-      return notices.pausedCount(nanos.getAsLong());
-    }
-  }
-
   private static GatewayRefusal tooLate(FleetJob job) {
     return new GatewayRefusal(Reason.TOO_LATE, retryAfterMillis(job.id()));
   }
@@ -267,13 +194,6 @@
     }
   }
 
-  /** Returns the number of requests that overload protection makes wait. */
-  public int heldBackCount() {
-    synchronized (lock) {
-      return scheduler.heldBackCount();
-    }
-  }
-
   /** Removes a job whose caller left or whose maximum wait has passed. */
   private void withdraw(FleetJob job) {
     boolean bound;
@@ -286,13 +206,6 @@
     }
   }
 
-  /** Records the first event of a response. */
-  void answered(RequestId id) {
-    synchronized (lock) {
-      scheduler.firstEventReceived(id, nanos.getAsLong());
-    }
-  }
-
   /** Frees the slot of an attempt; an unknown id is ignored. */
   void release(RequestId id, AttemptResult end) {
     synchronized (lock) {
@@ -347,13 +260,6 @@
         decision.server(), decision.cause(), decision.nanos() / NANOS_PER_MILLI);
   }
 
-  /** Returns the number of servers that are treated as cold. */
-  public int coldCount() {
-    synchronized (lock) {
-      return scheduler.coldCount(nanos.getAsLong());
-    }
-  }
-
   private void deliver(Binding binding) {
     Sinks.One<Binding> sink;
     synchronized (lock) {
--- a/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ServerPoolTest.java
@@ -104,7 +104,7 @@
   @Example
   void requestIsRefusedAtOnceWhenAllServersArePausedForLonger() {
     listOneServer();
-    pool.pauses(server(), Duration.ofSeconds(3));
+    pool.feedback().pauses(server(), Duration.ofSeconds(3));
     AtomicReference<Throwable> error = new AtomicReference<>();
     pool.acquire(job(1)).subscribe(binding -> {}, error::set);
     assertThat(error.get()).isInstanceOf(GatewayRefusal.class);
@@ -118,7 +118,7 @@
   @Example
   void waitingRequestsAreBoundInStepsAfterAPause() {
     listOneServer();
-    pool.pauses(server(), Duration.ofMillis(200));
+    pool.feedback().pauses(server(), Duration.ofMillis(200));
     AtomicInteger bound = new AtomicInteger();
     IntStream.range(0, SLOTS)
         .forEach(i -> pool.acquire(job(i)).subscribe(binding -> bound.incrementAndGet()));
@@ -173,7 +173,7 @@
     assertThat(bound).hasValue(1);
     time.advanceTimeBy(Duration.ofMillis(700));
     assertThat(bound).hasValue(SLOTS);
-    assertThat(cold.coldCount()).isEqualTo(1);
+    assertThat(cold.figures().coldCount()).isEqualTo(1);
   }
 
   private Optional<Binding> bound(FleetJob job) {
