Comments of the parts for hard load reworded

Cause: some comments named a number without its reason, referred to a design page for it, or left the reader to guess a word (paced, views, a quarter as often).

Change: comments only, but for the private constants and a local variable of AdmittedRequest, which said patience for the time after which callers leave.

--- a/gateway/src/main/java/org/endivemux/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/endivemux/gateway/AdmittedRequest.java
@@ -26,18 +26,25 @@
     long arrivedAt,
     long deadline) {
   private static final long NANOS_PER_MILLI = 1_000_000L;
-  private static final long MIN_PATIENCE_MILLIS = 2000;
-  private static final int PATIENCE_TARGETS = 4;
-  private static final int PATIENCE_GAPS = 8;
+
+  /**
+   * Callers end a stream that has no event yet after the longest of this time, a multiple of the
+   * route's target and a multiple of its longest allowed pause.
+   */
+  private static final long MIN_CALLER_WAIT_MILLIS = 2000;
+
+  private static final int CALLER_WAIT_TARGETS = 4;
+  private static final int CALLER_WAIT_GAPS = 8;
 
   /** Returns when the caller leaves if it has nothing of the response by then. */
   long callerLeavesAt() {
-    long patience =
+    long waitMillis =
         Math.max(
-            MIN_PATIENCE_MILLIS,
-            Math.max(PATIENCE_TARGETS * route.targetMillis(), PATIENCE_GAPS * route.gapMillis()));
+            MIN_CALLER_WAIT_MILLIS,
+            Math.max(
+                CALLER_WAIT_TARGETS * route.targetMillis(), CALLER_WAIT_GAPS * route.gapMillis()));
     return route.kind() == RequestKind.STREAM
-        ? Math.min(deadline, arrivedAt + patience * NANOS_PER_MILLI)
+        ? Math.min(deadline, arrivedAt + waitMillis * NANOS_PER_MILLI)
         : deadline;
   }
 }
--- a/gateway/src/main/java/org/endivemux/gateway/EventLoopStall.java
+++ b/gateway/src/main/java/org/endivemux/gateway/EventLoopStall.java
@@ -8,7 +8,7 @@
 import reactor.core.scheduler.Scheduler;
 
 /**
- * Knows when the event loop has last read from callers' connections, by a steady tick on the loop.
+ * Tracks when the event loop last read from callers' connections, by a steady tick on the loop.
  *
  * <p>Invariant: a request that is read during or right after a stall is taken to have arrived when
  * the stall began, since the kernel holds requests and closes while the loop does not read. Before
@@ -18,7 +18,10 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final Duration TICK = Duration.ofMillis(20);
 
-  /** A VM with 0.12 of a core may be held up for about 90 of each 100 ms in normal service. */
+  /**
+   * Longer than the usual pauses of a VM with a small processor share: one with 0.12 of a core may
+   * be held up for about 90 of each 100 ms in normal service.
+   */
   private static final Duration MIN_STALL = Duration.ofMillis(200);
 
   /** The loop accepts a bounded number of connections a turn, so a backlog takes some turns. */
@@ -80,7 +83,7 @@
       count++;
       stalledSince = lastTick;
       settledAt = now + BACKLOG.toNanos();
-      // At 5 ms a request, a backlog of 20 connections took more than 100 ms to read.
+      // A backlog grows with the stall; at 5 ms a request, 20 connections took more than 100 ms.
       backlogReadAt = now + Math.max(BACKLOG.toNanos(), stalled);
     }
     lastTick = now;
--- a/routing/src/main/java/org/endivemux/routing/fleet/Candidates.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/Candidates.java
@@ -7,10 +7,10 @@
  *
  * @param withRoom servers that may be sent the job now
  * @param listed servers that determine which ones are preferred for shared prompt parts; with
- *     overload protection also those without room, since otherwise shared parts would be read again
- *     wherever the preferred servers are busy
- * @param paced servers with room that are always compared, since they get few requests of few
- *     entries
+ *     overload protection also those without room, since otherwise shared parts would be prefilled
+ *     again at other servers whenever the preferred ones are busy
+ * @param paced cold servers with room, which are always compared, since only a few entries may send
+ *     them requests
  */
 record Candidates(List<ServerLoad> withRoom, List<ServerLoad> listed, List<ServerLoad> paced) {
   Candidates {
--- a/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/CapacityPlanner.java
@@ -122,7 +122,7 @@
         .toList();
   }
 
-  /** Returns the targets of an evacuated domain; steady servers stay only where spot ones lack. */
+  /** Returns the targets of an evacuated domain; steady servers stay only in place of spot ones. */
   private static Stream<Target> minimum(FailureDomain domain, int min, List<GatewayServer> listed) {
     long lacking = Math.max(0, min - count(domain, ServerKind.CHEAP, listed));
     int steady = (int) Math.min(lacking, count(domain, ServerKind.STEADY, listed));
--- a/routing/src/main/java/org/endivemux/routing/fleet/ColdPace.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ColdPace.java
@@ -14,7 +14,10 @@
  */
 record ColdPace(int senders, double requestsPerSecond) {
   private static final int MAX_SENDERS = 4;
+
+  /** Different views of the entry list that may be in use while a change of it spreads. */
   private static final int VIEWS = 2;
+
   private static final double NANOS_PER_SECOND = 1e9;
 
   /** Part of the declared rate that is used, since the other view's entries may use as much. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ColdState.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ColdState.java
@@ -55,13 +55,15 @@
     return listedEnd > now;
   }
 
-  /** Treats the server as cold until a newer list tells, or for as long as a start takes. */
+  /**
+   * Treats the server as cold until a newer list states the end, or for as long as a start takes.
+   */
   void suspect(long now) {
     suspectedAt = now;
     supersededFrom = now;
   }
 
-  /** Does the same for a server that failed, which lists that are read before do not know. */
+  /** Treats a failed server as cold; a list that was read before the failure does not end this. */
   void suspectAfterFailure(long now) {
     suspectedAt = now;
     supersededFrom = now + LIST_LAG_NANOS;
--- a/routing/src/main/java/org/endivemux/routing/fleet/EngineRoom.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/EngineRoom.java
@@ -23,7 +23,9 @@
    */
   private static final double PREFILL_SHARE_OF_TARGET = 0.5;
 
-  /** An entry refuses a job that has waited for three quarters of its target. */
+  /**
+   * Part of a job's target that is left at least: an entry refuses a job that has waited longer.
+   */
   private static final double MIN_TARGET_LEFT = 0.25;
 
   /** Less urgent kinds may always use this part of an engine's slots. */
@@ -37,7 +39,8 @@
 
   /**
    * Entries that may send an engine less urgent work in one interval while capacity is scarce. An
-   * engine of the design page prefills two long prompts in 400 ms; not compared with other values.
+   * engine prefills about two long prompts in 400 ms, a usual interval; not compared with other
+   * values.
    */
   private static final int SENDERS_PER_INTERVAL = 4;
 
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerSelection.java
@@ -70,7 +70,7 @@
    * Returns the server with the lowest cost as {@link #choose} does, where servers differ in speed
    * and report their slowdown. In a large fleet one server of the job's own group and one of all
    * are sampled, each in proportion to its usual speed. They are not taken from the entry's domain
-   * first: under a wave of demand that overloads the domain's servers.
+   * first, since that would overload the domain's servers when its demand rises.
    */
   Optional<ServerLoad> chooseBySpeed(
       FleetJob job,
--- a/routing/src/main/java/org/endivemux/routing/fleet/UrgencyDemand.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/UrgencyDemand.java
@@ -15,7 +15,7 @@
   /** Offered jobs per second for each counted offered job, in a steady state. */
   private static final double RATE_PER_WEIGHT = Math.log(2) / HALF_LIFE_SECONDS;
 
-  /** Each kind must be served at least a quarter as often as all. */
+  /** Share of started jobs, relative to that of all urgencies, below which one is starved. */
   private static final double FLOOR_OF_SERVED_SHARE = 0.25;
 
   private final TreeMap<Integer, Counts> byUrgency = new TreeMap<>();
--- a/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
@@ -36,6 +36,7 @@
   /** Time in which a change of the list of entries reaches all entries in contact. */
   private static final long TAKEOVER_NANOS = 1_000_000_000L;
 
+  /** Bounds the log lines when a whole domain turns cold at once. */
   private static final int MAX_DECISIONS = 64;
 
   private final VmId self;
