--- a/routing/src/main/java/org/endivemux/routing/fleet/JobsWithoutRoom.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/JobsWithoutCapacity.java
@@ -10,7 +10,7 @@
  * <p>Invariant: a job that avoids servers says nothing about others. Used for one pass, by the
  * scheduler's thread.
  */
-final class JobsWithoutRoom {
+final class JobsWithoutCapacity {
   private final List<FleetJob> smallest = new ArrayList<>();
 
   /** Returns whether a job can't have room; jobs must be asked for in the order of urgency. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/OverloadProtection.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/OverloadProtection.java
@@ -5,7 +5,7 @@
 /**
  * Says whether a scheduler protects urgent requests when capacity is short. Immutable.
  *
- * @param enabled whether {@link EngineRoom} decides which jobs an engine is sent
+ * @param enabled whether {@link EngineAdmission} decides which jobs an engine is sent
  * @param entries returns the number of entries that share the engines, at least 1
  */
 public record OverloadProtection(boolean enabled, IntSupplier entries) {
