--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -16,7 +16,6 @@
 import org.endivemux.model.EntryCapacity;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.VmId;
-import org.endivemux.platform.PlatformRules;
 import org.endivemux.routing.fleet.HedgePolicy;
 import org.endivemux.routing.fleet.WarmUpLimit;
 
@@ -55,9 +54,8 @@
  *     as a share of its own requests, from 0 to 1; none if absent or 0
  * @param hedgeQuantile quantile of a route's first-byte times after which such a request is sent,
  *     at least 0.5 and less than 1; 0.95 if absent
- * @param overloadProtection whether urgent requests are protected when capacity is short; if
- *     absent, they are where the platform's rules bound the memory of backend servers
- * @param platformRules names of the platform's rules that are in force; none if absent
+ * @param overloadProtection whether urgent requests are protected when capacity is short; off if
+ *     absent
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
 public record GatewaySettings(
@@ -87,8 +85,7 @@
     Optional<Double> linkMbps,
     Optional<Double> hedgeShare,
     Optional<Double> hedgeQuantile,
-    Optional<Boolean> overloadProtection,
-    List<String> platformRules) {
+    Optional<Boolean> overloadProtection) {
   private static final double DEFAULT_HEDGE_QUANTILE = 0.95;
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final double DEFAULT_COLD_OVERAGE = 1.5;
@@ -192,8 +189,7 @@
 
   /** Returns whether urgent requests are protected when capacity is short. */
   boolean isOverloadProtected() {
-    return overloadProtection.orElseGet(
-        () -> platformRules != null && PlatformRules.boundServerMemory(platformRules));
+    return overloadProtection.orElse(false);
   }
 
   WarmUpLimit.Bounds coldBounds() {
