--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -46,23 +46,6 @@
   /** With less time left than this, no further attempt starts. */
   private static final long MIN_TIME_LEFT_NANOS = 60 * NANOS_PER_MILLI;
 
-  /**
-   * Timeout for the first byte of an attempt that may be repeated elsewhere, as a multiple of the
-   * target.
-   */
-  private static final double FIRST_BYTE_TIMEOUT_TARGETS = 2;
-
-  /**
-   * Timeout for the first byte as a multiple of the expected prefill: an engine that still works
-   * off its queue is busy, not silent.
-   */
-  private static final int FIRST_BYTE_TIMEOUT_PREFILLS = 3;
-
-  private static final long MIN_FIRST_BYTE_TIMEOUT_NANOS = 600 * NANOS_PER_MILLI;
-
-  /** Shortest timeout between events of a stream that may be resumed elsewhere. */
-  private static final long MIN_GAP_TIMEOUT_NANOS = 1000 * NANOS_PER_MILLI;
-
   /** Longest wait for a free slot before a request is refused, as a fraction of the target. */
   private static final double MAX_WAIT_TARGETS = 0.75;
 
@@ -75,6 +58,7 @@
   private final IntSupplier entries;
   private final ServiceRetryAllowances retries;
   private final Hedges hedges;
+  private final AttemptTimeouts timeouts;
   private final PlannedStop stop;
   private final EventLoopStall stall;
   private final LongSupplier nanos;
@@ -104,6 +88,7 @@
     this.entries = entries;
     this.retries = retries;
     this.hedges = new Hedges(hedgePolicy, pool, retries, counters, nanos, timers);
+    this.timeouts = new AttemptTimeouts(retries, nanos, timers);
     this.stop = stop;
     this.stall = stall;
     this.nanos = nanos;
@@ -223,7 +208,7 @@
         table.get().config().version());
     return backends
         .send(call, response -> reader.read(request, progress, binding, sentAt, response))
-        .transform(parts -> withTimeouts(request, progress, binding, parts))
+        .transform(parts -> timeouts.guard(request, progress, binding, parts))
         .doOnError(error -> marker.tryAbandon())
         .doOnCancel(marker::tryAbandon)
         .doOnComplete(() -> pool.release(id, AttemptResult.OK))
@@ -238,31 +223,6 @@
     return Math.max(1, declared / Math.max(1, entries.getAsInt()));
   }
 
-  /** Ends a silent attempt early if the request can be repeated or resumed elsewhere. */
-  private Flux<ResponsePart> withTimeouts(
-      AdmittedRequest request, Progress progress, Binding binding, Flux<ResponsePart> parts) {
-    HostRoute route = request.route();
-    if (!route.repeatable() || progress.runsWithCurrent() >= route.maxServers()) {
-      return parts;
-    }
-    long first =
-        Math.max(
-            Math.max(
-                MIN_FIRST_BYTE_TIMEOUT_NANOS,
-                FIRST_BYTE_TIMEOUT_PREFILLS * binding.expectedPrefillNanos()),
-            (long) (route.targetMillis() * NANOS_PER_MILLI * FIRST_BYTE_TIMEOUT_TARGETS));
-    long gap = Math.max(MIN_GAP_TIMEOUT_NANOS, 2 * route.gapMillis() * NANOS_PER_MILLI);
-    return new SilenceTimeout(
-            first,
-            gap,
-            () ->
-                progress.runsWithCurrent() < route.maxServers()
-                    && retries.hasRepeat(request.service()),
-            nanos,
-            timers)
-        .guard(parts);
-  }
-
   private Flux<ResponsePart> retryOrFail(
       AdmittedRequest request, byte[] body, Progress progress, SendMarker marker, Throwable error) {
     if (error instanceof GatewayRefusal) {
