--- a/routing/src/main/java/org/endivemux/routing/fleet/EngineAdmission.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/EngineAdmission.java
@@ -39,8 +39,7 @@
 
   /**
    * Entries that may send an engine less urgent work in one interval while capacity is scarce. An
-   * engine prefills about two long prompts in 400 ms, a usual interval; not compared with other
-   * values.
+   * engine prefills about two long prompts in a usual interval, and not every sender has one.
    */
   private static final int SENDERS_PER_INTERVAL = 4;
 
