--- a/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
@@ -23,21 +23,23 @@
 import org.endivemux.routing.fleet.PromptShape;
 import reactor.core.publisher.Flux;
 
-/** Checks how much of responses that do not end is kept. */
+/** Checks how much of responses is kept, and what their heads tell of a server. */
 final class ResponseReaderTest {
   private static final ServiceName FAULTY = new ServiceName("faulty");
   private static final ServiceName SOUND = new ServiceName("sound");
   private static final int RESPONSES = 50;
   private static final byte[] PART = new byte[900 << 10];
 
-  private final ResponseReader reader =
-      new ResponseReader(
-          Fixtures.pool(System::nanoTime),
-          new GatewaySyncState(
-              Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
-          System::nanoTime);
+  private final ResponseReader reader = reader(Fixtures.pool(System::nanoTime));
   private final List<Throwable> failures = new ArrayList<>();
 
+  private static ResponseReader reader(ServerPool pool) {
+    return new ResponseReader(
+        pool,
+        new GatewaySyncState(Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
+        System::nanoTime);
+  }
+
   private Flux<ResponsePart> read(ServiceName service, RequestKind kind, Flux<byte[]> body) {
     AdmittedRequest request = request(service, kind);
     Progress progress = new Progress(OptionalLong.empty());
@@ -72,6 +74,43 @@
     }
   }
 
+  /** Guards against servers that look fast because they fail at once. */
+  @Example
+  void errorIsNoFirstEventOfAPrompt() {
+    assertThat(pendingPrefillAfterHead(200)).isZero();
+    assertThat(pendingPrefillAfterHead(500)).isPositive();
+  }
+
+  /** Returns the tokens that count as pending once a response's head has arrived. */
+  private static long pendingPrefillAfterHead(int status) {
+    ServerPool pool = Fixtures.pool(System::nanoTime);
+    pool.updateServers(List.of(Fixtures.server("s", SOUND)), 0);
+    FleetJob job =
+        new FleetJob(
+            new RequestId("id"),
+            SOUND,
+            1,
+            0,
+            Long.MAX_VALUE,
+            new PromptShape("m", 1000, 10, List.of()),
+            false,
+            Set.of());
+    Binding binding = pool.acquire(job).block();
+    Response response =
+        new Response(
+            status, new DefaultHttpHeaders(), false, false, false, Duration.ZERO, Flux.never());
+    var unused =
+        reader(pool)
+            .read(
+                request(SOUND, RequestKind.IDEMPOTENT),
+                new Progress(OptionalLong.empty()),
+                binding,
+                System.nanoTime(),
+                response)
+            .subscribe();
+    return pool.digest().get(0).pendingPrefillTokens();
+  }
+
   /** Guards against responses without end that exhaust the memory for other services' responses. */
   @Example
   void bodiesWithoutEndAreEndedWhenTheyHoldTooMuch() {
--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -215,12 +215,15 @@
   }
 
   void awaitReady() {
-    Await.until("all entries ready", () -> entries.stream().allMatch(this::isReady));
+    Await.until(
+        "all entries ready",
+        () -> entries.stream().allMatch(entry -> readinessStatus(entry) == 200));
   }
 
-  private boolean isReady(Vm entry) {
+  /** Returns the status with which an entry tells whether it is ready. */
+  int readinessStatus(Vm entry) {
     String url = "http://" + network + (number(entry) + REAL_ADDRESS_OFFSET) + ":" + READINESS_PORT;
-    return Http.call("GET", url + "/v1/readiness", "", Map.of(), "").status() == 200;
+    return Http.call("GET", url + "/v1/readiness", "", Map.of(), "").status();
   }
 
   @Override
