Give the last answers of a planned stop their time, also on a process that was held up

A caller's sale got its connection closed without a response at the end of a planned stop (known red, seen once under load).

Cause: the last answers and the end of the process were two timers, 300 ms apart. On a process that is held up until both are due, the process ends in the moment in which it answers. Reproduced: an entry that is frozen from the begin of its stop until after its limit closes the connection of the sale (status 0, 504 expected), the symptom that was seen.

Change: EntryDrain ends the requests and then waits for them, 300 ms from that moment. GatewayEntry keeps only its assembly.

That the earlier failure had this cause is likely, not proved: its logs are gone.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -37,7 +37,6 @@
 import org.endivemux.routing.fleet.ServerNotices;
 import org.endivemux.routing.fleet.WarmUpLimit;
 import org.endivemux.wire.PeerLink;
-import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
@@ -58,9 +57,6 @@
   /** Draining ends this long before the process is killed, so that it can exit by itself. */
   private static final Duration SHUTDOWN_MARGIN = Duration.ofMillis(500);
 
-  /** Requests in progress are answered this long before draining ends. */
-  private static final Duration LAST_ANSWERS_MARGIN = Duration.ofMillis(300);
-
   /**
    * A leaving entry accepts new requests for this multiple of the entry list's lifetime, since
    * callers may still use an old list.
@@ -68,7 +64,6 @@
   private static final double SERVED_LIFETIMES = 1.5;
 
   private static final Duration OPEN_CHECK_INTERVAL = Duration.ofMillis(20);
-  private static final Duration IDLE_CHECK_INTERVAL = Duration.ofMillis(50);
 
   /** Largest number of addresses that callers accept in one answer. */
   private static final int MAX_NAMED_ENTRIES = 64;
@@ -246,33 +241,12 @@
     logger.atInfo().log("event=callers_accepted address=%s", address);
   }
 
-  /** Leaves and drains; completes when no request is in flight or the drain time has passed. */
+  /** Leaves and drains; see {@link EntryDrain}. */
   Mono<Void> stop() {
-    plannedStop.leave();
-    logger.atInfo().log("event=leaving inFlight=%d", callers.inFlight());
     Duration serving =
         Duration.ofMillis((long) (settings.entriesLifetime().toMillis() * SERVED_LIFETIMES));
     Duration limit = settings.drain().minus(SHUTDOWN_MARGIN);
-    Disposable lastAnswers =
-        Mono.delay(limit.minus(LAST_ANSWERS_MARGIN)).subscribe(tick -> endRequests());
-    return Mono.delay(serving)
-        .doOnNext(tick -> plannedStop.close())
-        .then(Mono.defer(this::awaitIdle))
-        .timeout(limit, Mono.empty())
-        .doOnTerminate(lastAnswers::dispose)
-        .doOnTerminate(() -> logger.atInfo().log("event=left inFlight=%d", callers.inFlight()));
-  }
-
-  private void endRequests() {
-    logger.atWarning().log("event=requests_ended inFlight=%d", callers.inFlight());
-    plannedStop.end();
-  }
-
-  private Mono<Void> awaitIdle() {
-    return Flux.interval(Duration.ZERO, IDLE_CHECK_INTERVAL)
-        .onBackpressureDrop()
-        .filter(tick -> callers.inFlight() == 0)
-        .next()
-        .then();
+    return new EntryDrain(plannedStop, callers::inFlight, serving, limit, Schedulers.parallel())
+        .run();
   }
 }
--- a/integration/src/test/java/org/endivemux/integration/GatewayShutdownTest.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayShutdownTest.java
@@ -30,6 +30,9 @@
   /** Within this time of the stop the process has certainly not ended. */
   private static final Duration STILL_SERVING = Duration.ofSeconds(1);
 
+  /** Longer than the time that an entry has for a stop. */
+  private static final Duration WHOLE_STOP = Duration.ofSeconds(4);
+
   @Example
   void requestsAcceptedAroundThePlannedStopAreAnswered() {
     try (GatewayFleet fleet = new GatewayFleet(2, 4);
@@ -84,6 +87,37 @@
     }
   }
 
+  /**
+   * Guards against a process that ends in the moment in which it answers its last requests, because
+   * it was held up until all of its time for the stop had passed.
+   */
+  @Example
+  void requestsInProgressAreAnsweredByAProcessThatWasHeldUpUntilTheEndOfItsStop() {
+    try (GatewayFleet fleet = new GatewayFleet(2, 4);
+        CallerStandIn caller = new CallerStandIn("caller", fleet.witness)) {
+      fleet.start();
+      Vm entry = fleet.entries.get(0);
+      String address = fleet.callersAddress(entry);
+      Await.until("served", () -> caller.call(address, RouteKind.SALE).isServed());
+      fleet.engines.forEach(engine -> engine.mode(EngineStandIn.Mode.SILENT));
+      int arrivals = arrivals(fleet);
+      CompletableFuture<Integer> sale =
+          CompletableFuture.supplyAsync(() -> caller.call(address, RouteKind.SALE).status());
+      Await.until("the sale runs", () -> arrivals(fleet) > arrivals);
+      entry.terminate();
+      Await.until("it leaves", () -> entry.logText().contains("event=leaving"));
+      entry.freeze();
+      LockSupport.parkNanos(WHOLE_STOP.toNanos());
+      entry.thaw();
+      assertThat(sale.join()).isEqualTo(504);
+      entry.awaitExit();
+    }
+  }
+
+  private static int arrivals(GatewayFleet fleet) {
+    return fleet.engines.stream().mapToInt(EngineStandIn::arrivals).sum();
+  }
+
   private static boolean refusesOrHasEnded(CallerStandIn caller, String address) {
     int status = caller.call(address, RouteKind.LOOK_UP).status();
     return status == 503 || status == 0;
