Tell all entries of cold-start servers that refuse connections

Cause: entries that saw no failure used the engine as a warm one until the list showed the cold time, up to 1.5 s later.

Change: an attempt whose connection is refused ends as REFUSED. The entry names the server in its polls for 1.5 s, only where the service has a warm-up; the leader notes the time in its list and hands it on as any other change; entries then treat the server as after a failure of their own. Resets and time-outs are not told: one entry's broken link must not turn sound servers cold for all.

--- a/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
@@ -44,6 +44,7 @@
   private final Supplier<List<ServiceLoad>> loads;
   private final Supplier<List<InFlightAt>> inFlight;
   private final Supplier<List<BackendServerId>> leaving;
+  private final Supplier<List<BackendServerId>> refusing;
   private final Supplier<CrashNews> crashes;
   private final Supplier<List<SpeedAt>> speeds;
   private final TreeMap<Long, Map<OrganisationId, Long>> windows = new TreeMap<>();
@@ -63,6 +64,7 @@
    * @param leaving returns the backend servers that told this process that they leave
    * @param crashes returns what this process knows of crashes of backend servers
    * @param speeds returns the next samples of server speeds to share
+   * @param refusing returns the backend servers with a warm-up that refused connections lately
    */
   public GatewaySyncState(
       Clocks clocks,
@@ -71,7 +73,8 @@
       Supplier<List<InFlightAt>> inFlight,
       Supplier<List<BackendServerId>> leaving,
       Supplier<CrashNews> crashes,
-      Supplier<List<SpeedAt>> speeds) {
+      Supplier<List<SpeedAt>> speeds,
+      Supplier<List<BackendServerId>> refusing) {
     this.clocks = clocks;
     this.wallClock = new SteadyWallClock(clocks);
     this.windowMillis = windowMillis;
@@ -80,10 +83,11 @@
     this.leaving = leaving;
     this.crashes = crashes;
     this.speeds = speeds;
+    this.refusing = refusing;
     this.leaderHeardAtNanos = clocks.nanos();
   }
 
-  /** Creates the state of a process that measures no server speeds. */
+  /** Creates the state of a process that measures no server speeds and knows no warm-ups. */
   public GatewaySyncState(
       Clocks clocks,
       long windowMillis,
@@ -91,7 +95,7 @@
       Supplier<List<InFlightAt>> inFlight,
       Supplier<List<BackendServerId>> leaving,
       Supplier<CrashNews> crashes) {
-    this(clocks, windowMillis, loads, inFlight, leaving, crashes, List::of);
+    this(clocks, windowMillis, loads, inFlight, leaving, crashes, List::of, List::of);
   }
 
   /** Returns the best estimate of true time in Unix milliseconds. */
@@ -111,7 +115,8 @@
   GatewayPoll poll() {
     List<ServiceLoad> currentLoads = loads.get();
     List<InFlightAt> currentInFlight = inFlight.get();
-    return poll(currentLoads, currentInFlight, leaving.get(), crashes.get(), speeds.get());
+    return poll(
+        currentLoads, currentInFlight, leaving.get(), crashes.get(), speeds.get(), refusing.get());
   }
 
   private synchronized GatewayPoll poll(
@@ -119,7 +124,8 @@
       List<InFlightAt> currentInFlight,
       List<BackendServerId> currentLeaving,
       CrashNews currentCrashes,
-      List<SpeedAt> currentSpeeds) {
+      List<SpeedAt> currentSpeeds,
+      List<BackendServerId> currentRefusing) {
     List<WindowCount> counts =
         windows.entrySet().stream()
             .flatMap(
@@ -135,7 +141,8 @@
         currentInFlight,
         currentLeaving,
         currentCrashes,
-        currentSpeeds);
+        currentSpeeds,
+        currentRefusing);
   }
 
   void applyReply(GatewayPollReply reply) {
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -74,6 +74,7 @@
    * @param leaving backend servers that told the entry that they leave
    * @param crashes what the entry knows of crashes of backend servers
    * @param speeds samples of the speed of some backend servers, in turn
+   * @param refusing backend servers with a warm-up that refused connections of the entry lately
    */
   record GatewayPoll(
       long serversNumber,
@@ -83,9 +84,11 @@
       List<InFlightAt> inFlight,
       List<BackendServerId> leaving,
       CrashNews crashes,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<SpeedAt> speeds) {
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<SpeedAt> speeds,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<BackendServerId> refusing) {
     public GatewayPoll {
       // A process of an earlier version sends none of these.
+      refusing = refusing == null ? List.of() : List.copyOf(refusing);
       speeds = speeds == null ? List.of() : List.copyOf(speeds);
       leaving = leaving == null ? List.of() : List.copyOf(leaving);
       crashes = crashes == null ? CrashNews.none() : crashes;
@@ -97,7 +100,7 @@
     /** Returns the part of an entry that has no gateway. */
     public static GatewayPoll none() {
       return new GatewayPoll(
-          0, List.of(), 0, List.of(), List.of(), List.of(), CrashNews.none(), List.of());
+          0, List.of(), 0, List.of(), List.of(), List.of(), CrashNews.none(), List.of(), List.of());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -185,6 +185,11 @@
       counts.add(poll.entry(), gateway.counts(), time.millis());
       loads.add(poll.entry().vm(), gateway.loads(), gateway.inFlight(), clocks.nanos());
       recordCrashes(poll);
+      if (servers.reportRefusing(voter.status().term(), gateway.refusing(), time.millis())) {
+        logger.atInfo().log(
+            "event=servers_refusing vm=%s servers=%s", poll.entry().vm(), gateway.refusing());
+        wakePolls();
+      }
       if (servers.reportLeaving(voter.status().term(), gateway.leaving())) {
         logger.atInfo().log("event=servers_leaving vm=%s", poll.entry().vm());
         wakePolls();
--- a/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
@@ -27,6 +27,9 @@
   /** An entry that missed more changes gets the whole list. */
   private static final int MAX_LISTS = 16;
 
+  /** Well below the lag of the platform's list, during which a refusal matters. */
+  private static final long REFUSAL_REPEAT_MILLIS = 500;
+
   private final TreeMap<Long, List<GatewayServer>> lists = new TreeMap<>();
 
   /** Updates to the current list, by the number of the list that they apply to. */
@@ -62,6 +65,31 @@
     return isNew && update(term, servers);
   }
 
+  /**
+   * Records servers that refused connections of an entry, which may restart before the platform
+   * lists them as failed; returns whether the list has changed. A server that keeps refusing is
+   * recorded again only after {@link #REFUSAL_REPEAT_MILLIS}, since each change is sent to all
+   * entries.
+   *
+   * @param nowMillis true time, in Unix milliseconds
+   */
+  synchronized boolean reportRefusing(
+      long ofTerm, Collection<BackendServerId> refusing, long nowMillis) {
+    if (ofTerm != term || refusing.isEmpty()) {
+      return false;
+    }
+    return update(
+        term,
+        servers.stream()
+            .map(
+                server ->
+                    refusing.contains(server.id())
+                            && nowMillis - server.refusedAtMillis() >= REFUSAL_REPEAT_MILLIS
+                        ? server.refusedAt(nowMillis)
+                        : server)
+            .toList());
+  }
+
   private boolean update(long newTerm, List<GatewayServer> listed) {
     List<GatewayServer> ordered =
         listed.stream()
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -124,7 +124,8 @@
             pool::digest,
             pool.figures()::leaving,
             crashes::news,
-            pool.figures()::nextSpeeds);
+            pool.figures()::nextSpeeds,
+            pool.figures()::refusing);
     syncState.onFleetLoad(pool::updateFleetLoad);
     syncState.onSpeeds(pool::updateSpeeds);
     this.follower =
--- a/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
+++ b/gateway/src/main/java/org/endivemux/gateway/AttemptFailure.java
@@ -24,6 +24,9 @@
     if (error instanceof TimeoutException) {
       return AttemptResult.SILENT;
     }
+    if (error instanceof BackendPort.ConnectionRefused) {
+      return AttemptResult.REFUSED;
+    }
     return error instanceof ServerError ? AttemptResult.ERROR : AttemptResult.FAILED;
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -21,7 +21,10 @@
  * belongs to another request or ends early.
  */
 public interface BackendPort {
-  /** Sends a call and passes its response to a reader as soon as the head has arrived. */
+  /**
+   * Sends a call and passes its response to a reader as soon as the head has arrived; fails with
+   * {@link ConnectionRefused} if nothing listens at the server's address.
+   */
   <T> Flux<T> send(Call call, Function<Response, Flux<T>> reader);
 
   /**
@@ -29,6 +32,15 @@
    */
   Mono<Boolean> isGone(GatewayServer server);
 
+  /** Signals that nothing listens at a backend server's address. Immutable. */
+  final class ConnectionRefused extends RuntimeException {
+    private static final long serialVersionUID = 1;
+
+    public ConnectionRefused(Throwable cause) {
+      super("The backend server refused the connection.", cause);
+    }
+  }
+
   /**
    * Holds one call. Not modified after construction, except for {@code sendMarker}.
    *
--- a/gateway/src/main/java/org/endivemux/gateway/ServerFigures.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerFigures.java
@@ -47,6 +47,13 @@
     }
   }
 
+  /** Returns the servers with a warm-up that lately refused connections of this entry. */
+  public List<BackendServerId> refusing() {
+    synchronized (lock) {
+      return scheduler.refusing(nanos.getAsLong());
+    }
+  }
+
   /** Returns the number of servers that have asked for a pause which has not ended. */
   public int pausedCount() {
     synchronized (lock) {
--- a/routing/src/main/java/org/endivemux/routing/fleet/AttemptResult.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/AttemptResult.java
@@ -9,6 +9,8 @@
   GONE,
   /** The backend server answered with an error. */
   ERROR,
+  /** Nothing listens at the backend server's address: its process has ended. */
+  REFUSED,
   /** The backend server could not be reached or closed the connection early. */
   FAILED,
   /** The backend server sent nothing for too long, or no connection to it was free. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ColdState.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ColdState.java
@@ -22,6 +22,8 @@
   private long listedEnd = NEVER;
   private long suspectedAt = NEVER;
   private long supersededFrom;
+  private long refusedAt = NEVER;
+  private long listedRefusalMillis;
   private long evacuatedUntil = NEVER;
   private long sentAt = NEVER;
   private long rankedAt = NEVER;
@@ -69,6 +71,35 @@
     supersededFrom = now + LIST_LAG_NANOS;
   }
 
+  /** Records that the server refused a connection of this entry. */
+  void refused(long now) {
+    refusedAt = now;
+  }
+
+  /** Returns whether the server refused a connection before a list can have shown its restart. */
+  boolean hasRefusedLately(long now) {
+    return now - refusedAt < LIST_LAG_NANOS;
+  }
+
+  /**
+   * Updates when the server refused a connection of any entry; returns whether it is treated as
+   * cold because of a refusal that was not known.
+   *
+   * @param trueMillis true time at {@code now}, in Unix milliseconds
+   */
+  boolean updateRefusal(GatewayServer newer, long now, long trueMillis) {
+    if (newer.refusedAtMillis() <= listedRefusalMillis) {
+      return false;
+    }
+    listedRefusalMillis = newer.refusedAtMillis();
+    long at = now - Math.max(0, trueMillis - listedRefusalMillis) * NANOS_PER_MILLI;
+    boolean isNews = now - at < LIST_LAG_NANOS && at + LIST_LAG_NANOS > supersededFrom;
+    if (isNews) {
+      suspectAfterFailure(at);
+    }
+    return isNews;
+  }
+
   /**
    * Returns whether the server failed so recently that other entries may not know it and use it as
    * a warm one.
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -93,6 +93,11 @@
     return warmUp.takeDecisions();
   }
 
+  /** Returns the servers with a warm-up that lately refused connections of this entry. */
+  public List<BackendServerId> refusing(long now) {
+    return warmUp.refusing(now);
+  }
+
   /** Returns the number of servers that are treated as cold. */
   public int coldCount(long now) {
     return warmUp.coldCount(now);
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerLoad.java
@@ -203,7 +203,7 @@
         errorShare -= ERROR_SHARE_WEIGHT * errorShare;
       }
       case ERROR -> errorShare += ERROR_SHARE_WEIGHT * (1 - errorShare);
-      case FAILED, SILENT -> failed(now);
+      case REFUSED, FAILED, SILENT -> failed(now);
       case GONE -> backoffUntil = now + LIST_UPDATE_LAG_NANOS;
       case FULL -> backoffUntil = now + FULL_BACKOFF_NANOS;
       case CANCELLED -> {}
--- a/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
@@ -61,6 +61,7 @@
     LISTED,
     NEW,
     UNREACHABLE,
+    REPORTED,
     EVACUATED
   }
 
@@ -113,13 +114,27 @@
       state.suspect(now);
       decided(state, Cause.NEW, now);
     }
+    if (state.updateRefusal(server, now, trueMillis)) {
+      decided(state, Cause.REPORTED, now);
+    }
   }
 
   /** Records the end of an attempt at a server. */
   void ended(BackendServerId server, AttemptResult end, long now) {
-    if (end == AttemptResult.FAILED) {
+    if (end == AttemptResult.FAILED || end == AttemptResult.REFUSED) {
       failed(server, now);
     }
+    if (end == AttemptResult.REFUSED) {
+      Optional.ofNullable(states.get(server)).ifPresent(state -> state.refused(now));
+    }
+  }
+
+  /** Returns the servers with a warm-up that lately refused connections of this entry. */
+  List<BackendServerId> refusing(long now) {
+    return states.values().stream()
+        .filter(state -> warmUp(state).isPresent() && state.hasRefusedLately(now))
+        .map(state -> state.server().id())
+        .toList();
   }
 
   /** Records that a server accepted no connection or reset one. */
