Warm up the request path before an entry accepts callers

The first callers of an entry that starts waited for seconds: the first requests load and link the classes of the whole path, and on a VM with 0.12 of a core that takes many times longer than on a whole one.

Change: before the callers' port opens, RequestPathWarmUp sends two rounds of each kind of request over loopback through a gateway of its own. It runs beside the wait for the configuration and for 5 s at most.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -29,6 +29,7 @@
 import org.endivemux.platform.DirectoryEndpoint;
 import org.endivemux.platform.HttpBackends;
 import org.endivemux.platform.PlatformApi;
+import org.endivemux.platform.RequestPathWarmUp;
 import org.endivemux.routing.Cells;
 import org.endivemux.routing.EntryAddresses;
 import org.endivemux.routing.LoadDigests;
@@ -212,9 +213,9 @@
   }
 
   /**
-   * Starts all components; the callers' port is opened when the entry has a configuration. A port
-   * that is open before would hold requests unread while the process starts; one that is closed
-   * sends callers to another entry at once.
+   * Starts all components; the callers' port is opened when the entry has a configuration and its
+   * request path is warm. A port that is open before would hold requests unread while the process
+   * starts; one that is closed sends callers to another entry at once.
    */
   void start() {
     settings
@@ -227,11 +228,16 @@
     digests.start();
     listing.start();
     var unused =
-        Flux.interval(OPEN_CHECK_INTERVAL, Schedulers.boundedElastic())
-            .onBackpressureDrop()
-            .filter(tick -> gateway.isConfigured())
-            .next()
-            .subscribe(tick -> openCallersPort(), fatal);
+        Mono.when(configured(), new RequestPathWarmUp(loop).run())
+            .publishOn(Schedulers.boundedElastic())
+            .subscribe(nothing -> {}, fatal, this::openCallersPort);
+  }
+
+  private Mono<Long> configured() {
+    return Flux.interval(OPEN_CHECK_INTERVAL)
+        .onBackpressureDrop()
+        .filter(tick -> gateway.isConfigured())
+        .next();
   }
 
   private void openCallersPort() {
