Overload protection where the contract pressure is in force

Entries of the deployment whose engines crash beyond their memory served it without protection, since no setting was in the template.

Change: the settings get the names of the platform's contracts; the contract pressure turns protection on, overloadProtection overrides it. No other deployment has this contract.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -16,6 +16,7 @@
 import org.endivemux.model.EntryCapacity;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.VmId;
+import org.endivemux.platform.Contracts;
 import org.endivemux.routing.fleet.HedgePolicy;
 import org.endivemux.routing.fleet.WarmUpLimit;
 
@@ -54,8 +55,9 @@
  *     as a share of its own requests, from 0 to 1; none if absent or 0
  * @param hedgeQuantile quantile of a route's first-byte times after which such a request is sent,
  *     at least 0.5 and less than 1; 0.95 if absent
- * @param overloadProtection whether urgent requests are protected when capacity is short; off if
- *     absent
+ * @param contracts names of the platform's contracts in force
+ * @param overloadProtection whether urgent requests are protected when capacity is short; if
+ *     absent, where a contract asks for it
  */
 @JsonIgnoreProperties(ignoreUnknown = false)
 public record GatewaySettings(
@@ -85,6 +87,7 @@
     Optional<Double> linkMbps,
     Optional<Double> hedgeShare,
     Optional<Double> hedgeQuantile,
+    Optional<List<String>> contracts,
     Optional<Boolean> overloadProtection) {
   private static final double DEFAULT_HEDGE_QUANTILE = 0.95;
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
@@ -189,7 +192,8 @@
 
   /** Returns whether urgent requests are protected when capacity is short. */
   boolean isOverloadProtected() {
-    return overloadProtection.orElse(false);
+    return overloadProtection.orElseGet(
+        () -> Contracts.needOverloadProtection(contracts.orElse(List.of())));
   }
 
   WarmUpLimit.Bounds coldBounds() {
