Fair shares among organisations in an entry's queue

One organisation that sent eight times its usual amount took the place of the others: the queue was ordered by urgency and arrival.

Change: under overload protection, requests of one urgency wait in the order of their organisations' turns (start-time fair queueing by tokens). Each entry decides for its own callers, without messages; shares over all entries are not built. Without protection nothing changes.

--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -164,6 +164,7 @@
         request.head().prompt(),
         request.longPrompts(),
         route.gapMillis(),
+        request.organisation(),
         progress.usedServers());
   }
 
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
@@ -1,7 +1,9 @@
 package org.endivemux.routing.fleet;
 
+import java.util.Optional;
 import java.util.Set;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.model.OrganisationId;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.ServiceName;
 
@@ -14,6 +16,7 @@
  * @param waitDeadline when the request is refused with a retry hint if no server was found
  * @param longPrompts whether the prompts of the job's route are long
  * @param pauseMillis longest pause between events that counts as on time; 0 when not declared
+ * @param organisation organisation whose key came with the request, if any
  * @param avoid backend servers that earlier attempts of the request have used
  */
 public record FleetJob(
@@ -25,12 +28,13 @@
     PromptShape prompt,
     boolean longPrompts,
     long pauseMillis,
+    Optional<OrganisationId> organisation,
     Set<BackendServerId> avoid) {
   public FleetJob {
     avoid = Set.copyOf(avoid);
   }
 
-  /** Creates a job whose route declares no longest pause. */
+  /** Creates a job without an organisation, whose route declares no longest pause. */
   public FleetJob(
       RequestId id,
       ServiceName service,
@@ -40,6 +44,16 @@
       PromptShape prompt,
       boolean longPrompts,
       Set<BackendServerId> avoid) {
-    this(id, service, urgency, arrivedAt, waitDeadline, prompt, longPrompts, 0, avoid);
+    this(
+        id,
+        service,
+        urgency,
+        arrivedAt,
+        waitDeadline,
+        prompt,
+        longPrompts,
+        0,
+        Optional.empty(),
+        avoid);
   }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -26,7 +26,8 @@
  * <p>Does no I/O and reads no clock: monotonic nanoseconds are passed in. Invariants: a server that
  * is leaving or paused, is in an evacuated domain or that the job avoids gets nothing, and one in
  * backoff gets nothing while another has capacity; a cold one gets what {@link WarmUpLimit} allows;
- * waiting jobs are bound by urgency and then by arrival. Not thread-safe: one caller at a time.
+ * waiting jobs are bound by urgency, then, under overload protection, by fair shares of the
+ * organisations, and then by arrival. Not thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private final ServerNotices notices;
@@ -35,7 +36,7 @@
   private final SlotLimits limits;
   private final ServerChooser chooser;
   private final EngineAdmissions admissions;
-  private final WaitingJobs waiting = new WaitingJobs();
+  private final WaitingJobs waiting;
   private final Map<RequestId, ServerLoad> running = new HashMap<>();
   private final ServiceSpeeds speeds = new ServiceSpeeds();
 
@@ -56,6 +57,7 @@
     this.limits = new SlotLimits(notices, warmUp);
     this.chooser = new ServerChooser(domain, servers, limits, warmUp, speeds, protection);
     this.admissions = chooser.admissions();
+    this.waiting = new WaitingJobs(admissions::isOn);
   }
 
   /** Replaces the strictest target of each urgency at each service, in nanoseconds. */
@@ -186,6 +188,7 @@
   private Binding started(FleetJob job, ServerLoad load, long now) {
     Optional<GatewayServer> copyFrom = chooser.copyFrom(job, load);
     load.started(job, now);
+    waiting.started(job);
     warmUp.sent(load.server().id(), now);
     running.put(job.id(), load);
     return new Binding(job, load.server(), copyFrom, chooser.expectedPrefillNanos(load, now));
--- a/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
@@ -10,29 +10,60 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.ServiceName;
 
 /**
  * Holds the jobs that wait for a server, in one queue for each service.
  *
- * <p>Invariant: a queue is ordered by urgency, then by arrival, then by id. Not thread-safe.
+ * <p>Invariant: a queue is ordered by urgency, then, where organisations share the service fairly,
+ * by the organisations' turns, then by arrival and by id. Not thread-safe.
  */
 final class WaitingJobs {
-  private static final Comparator<FleetJob> QUEUE_ORDER =
-      Comparator.comparingInt(FleetJob::urgency)
-          .thenComparingLong(FleetJob::arrivedAt)
-          .thenComparing(FleetJob::id);
-
+  private final Predicate<ServiceName> isShared;
   private final Map<ServiceName, NavigableSet<FleetJob>> queues = new HashMap<>();
+  private final Map<ServiceName, OrganisationTurns> turns = new HashMap<>();
+  private final Map<RequestId, Double> turnOf = new HashMap<>();
+
+  /**
+   * @param isShared whether organisations share a service fairly
+   */
+  WaitingJobs(Predicate<ServiceName> isShared) {
+    this.isShared = isShared;
+  }
 
   void add(FleetJob job) {
-    queues.computeIfAbsent(job.service(), service -> new TreeSet<>(QUEUE_ORDER)).add(job);
+    if (isShared.test(job.service())) {
+      turnOf.put(job.id(), turnsOf(job.service()).next(job));
+    }
+    queues.computeIfAbsent(job.service(), service -> new TreeSet<>(order())).add(job);
+  }
+
+  private Comparator<FleetJob> order() {
+    return Comparator.comparingInt(FleetJob::urgency)
+        .thenComparingDouble(job -> turnOf.getOrDefault(job.id(), 0.0))
+        .thenComparingLong(FleetJob::arrivedAt)
+        .thenComparing(FleetJob::id);
+  }
+
+  private OrganisationTurns turnsOf(ServiceName service) {
+    return turns.computeIfAbsent(service, none -> new OrganisationTurns());
+  }
+
+  /** Records that a job, which was taken out of its queue, was started. */
+  void started(FleetJob job) {
+    Double turn = turnOf.remove(job.id());
+    if (turn != null) {
+      turnsOf(job.service()).served(turn);
+    }
   }
 
   /** Removes a job; returns whether it was waiting. */
   boolean remove(FleetJob job) {
     NavigableSet<FleetJob> queue = queues.get(job.service());
-    return queue != null && queue.remove(job);
+    boolean removed = queue != null && queue.remove(job);
+    turnOf.remove(job.id());
+    return removed;
   }
 
   /** Removes and returns all jobs of the services that match. */
@@ -45,6 +76,7 @@
             queue.clear();
           }
         });
+    removed.forEach(job -> turnOf.remove(job.id()));
     return removed;
   }
 
--- a/routing/src/test/java/org/endivemux/routing/fleet/UnevenFleetSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/UnevenFleetSimulation.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
@@ -206,6 +207,7 @@
                 prompt,
                 route.longPrompts,
                 route.pauseMillis,
+                Optional.empty(),
                 Set.of()));
   }
 
