Tests: claim a range of ports for each test process

Two runs of the tests on one machine failed with ports in use, because each fork drew one of ten ranges at random and fleets drew one of 200 networks.

--- a/integration/src/test/java/org/endivemux/integration/Cluster.java
+++ b/integration/src/test/java/org/endivemux/integration/Cluster.java
@@ -1,8 +1,6 @@
 package org.endivemux.integration;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -12,7 +10,6 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.UUID;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -31,11 +28,6 @@
 final class Cluster implements AutoCloseable {
   static final String OPERATOR = "emx_operator";
 
-  /** Number of this Surefire fork; each fork has its own port range. */
-  private static final int FORK = Integer.parseInt(System.getProperty("fork.number", "1"));
-
-  private static final AtomicInteger NEXT_PORT =
-      new AtomicInteger(20_000 + FORK * 3000 + new Random().nextInt(10) * 200);
   private static final Random IDS = new Random();
 
   private static final Duration FIRST_BYTE_TIMEOUT = Duration.ofSeconds(4);
@@ -97,7 +89,8 @@
     this.platformProxy = new FaultProxy(0, platform.port(), 2);
     IntStream.range(0, engineCount).forEach(i -> addEngine());
     IntStream.rangeClosed(1, voters + entries)
-        .forEach(i -> vms.add(new Vm("vm" + i, freePort(), freePort(), folder)));
+        .forEach(
+            i -> vms.add(new Vm("vm" + i, PortRange.freePort(), PortRange.freePort(), folder)));
     vms.forEach(this::writeSettings);
   }
 
@@ -139,20 +132,6 @@
     engineProxies.add(new FaultProxy(0, engine.port(), engines.size()));
   }
 
-  /**
-   * Returns a free port below the ephemeral range, which the system uses for outgoing connections.
-   */
-  private static int freePort() {
-    while (true) {
-      int port = NEXT_PORT.getAndIncrement();
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-        return socket.getLocalPort();
-      } catch (IOException e) {
-        // The port is in use: try the next one.
-      }
-    }
-  }
-
   private void writeSettings(Vm vm) {
     int number = vms.indexOf(vm) + 1;
     String voterAddresses =
--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -7,7 +7,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -36,12 +35,10 @@
   /** Added to the last octet of the proxy's address to get the process's own address. */
   private static final int REAL_ADDRESS_OFFSET = 100;
 
-  /**
-   * Number of this Surefire fork; each fork, and each fleet in it, has its own loopback network.
-   */
-  private static final int FORK = Integer.parseInt(System.getProperty("fork.number", "1"));
+  /** Each fleet of a test process has its own loopback network. */
+  private static final AtomicInteger NEXT_NETWORK = new AtomicInteger();
 
-  private static final AtomicInteger NEXT_NETWORK = new AtomicInteger(new Random().nextInt(200));
+  private static final int FIRST_NETWORK = 50;
 
   final InvariantChecker witness = new InvariantChecker();
   final OperatorStandIn operator = new OperatorStandIn(witness);
@@ -53,7 +50,8 @@
   final PlatformStandIn platform;
   final FaultProxy platformProxy;
   final Path logs = createFolder();
-  private final String network = "127." + (30 + FORK) + "." + NEXT_NETWORK.getAndIncrement() + ".";
+  private final String network =
+      "127." + (FIRST_NETWORK + PortRange.number()) + "." + NEXT_NETWORK.getAndIncrement() + ".";
   private int enginesStarted;
   private int engineAddressOffset;
 
