--- a/gateway/src/main/java/org/endivemux/gateway/StrictestTargets.java
+++ b/gateway/src/main/java/org/endivemux/gateway/StrictestTargets.java
@@ -21,7 +21,7 @@
     config.routes().stream()
         .filter(route -> route.targetMillis() > 0)
         .forEach(
-            route -> urgencies.possible(route).forEach(urgency -> add(route, urgency, strictest)));
+            route -> urgencies.ranksOf(route).forEach(urgency -> add(route, urgency, strictest)));
     return strictest;
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/Urgencies.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Urgencies.java
@@ -33,7 +33,7 @@
             .collect(Collectors.toUnmodifiableSet());
     List<Priorities> ranks =
         config.routes().stream()
-            .flatMap(route -> possible(route, ofOrganisations))
+            .flatMap(route -> prioritiesOf(route, ofOrganisations))
             .distinct()
             .sorted(
                 Comparator.comparingInt(Priorities::organisation)
@@ -43,7 +43,8 @@
   }
 
   /** Returns the priorities that requests of a route can have. */
-  private static Stream<Priorities> possible(HostRoute route, Set<OptionalInt> ofOrganisations) {
+  private static Stream<Priorities> prioritiesOf(
+      HostRoute route, Set<OptionalInt> ofOrganisations) {
     boolean hasNone = route.open() || ofOrganisations.isEmpty();
     return Stream.concat(
             ofOrganisations.stream(), hasNone ? Stream.of(OptionalInt.empty()) : Stream.empty())
@@ -60,8 +61,8 @@
   }
 
   /** Returns the ranks that requests of a route can have. */
-  Stream<Integer> possible(HostRoute route) {
-    return possible(route, organisationPriorities).distinct().map(mostUrgentFirst::indexOf);
+  Stream<Integer> ranksOf(HostRoute route) {
+    return prioritiesOf(route, organisationPriorities).distinct().map(mostUrgentFirst::indexOf);
   }
 
   private record Priorities(int organisation, int route) {
