Do not charge an organisation for requests that were never started

Found on rereading the fair shares. A request that was refused or left while it waited stayed charged to its organisation, so that after a burst the organisation's turns lay far ahead and its next requests waited behind all others.

Change: OrganisationTurns takes the work back when a waiting job is removed. The sum of a prompt and its declared output is computed as a long.

Measured: FairSharesTest.refusedRequestsAreNotCharged, red before: after a hundred refused requests the next one came last of four, now second.

--- a/routing/src/main/java/org/endivemux/routing/fleet/OrganisationTurns.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/OrganisationTurns.java
@@ -12,8 +12,9 @@
  * <p>Answers the load of one organisation that sends many times its usual amount: its jobs get
  * later and later turns, those of the others do not. An organisation's turns advance by the work of
  * its jobs, the tokens that they may make an engine handle. Invariants: the virtual time is the
- * latest turn that was served and never decreases; an organisation that has waited for nothing has
- * its next turn now, so that unused shares are lent and earn no credit. Not thread-safe.
+ * latest turn that was served and never decreases; an organisation is charged for what was started
+ * or waits; one that has waited for nothing has its next turn now, so that unused shares are lent
+ * and earn no credit. Not thread-safe.
  */
 final class OrganisationTurns {
   /** A request without a prompt takes a slot as well. */
@@ -34,8 +35,15 @@
     return turn;
   }
 
+  /** Takes back what a job that {@link #next} has charged would have used; it was not started. */
+  void cancelled(FleetJob job) {
+    if (job.avoid().isEmpty()) {
+      nextTurns.computeIfPresent(job.organisation(), (organisation, next) -> next - work(job));
+    }
+  }
+
   private static double work(FleetJob job) {
-    return Math.max(MIN_WORK_TOKENS, job.prompt().tokens() + job.prompt().maxAnswerTokens());
+    return Math.max(MIN_WORK_TOKENS, (long) job.prompt().tokens() + job.prompt().maxAnswerTokens());
   }
 
   /** Records that a job with this turn was started. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
@@ -62,7 +62,7 @@
   boolean remove(FleetJob job) {
     NavigableSet<FleetJob> queue = queues.get(job.service());
     boolean removed = queue != null && queue.remove(job);
-    turnOf.remove(job.id());
+    cancelTurn(job);
     return removed;
   }
 
@@ -76,10 +76,16 @@
             queue.clear();
           }
         });
-    removed.forEach(job -> turnOf.remove(job.id()));
+    removed.forEach(this::cancelTurn);
     return removed;
   }
 
+  private void cancelTurn(FleetJob job) {
+    if (turnOf.remove(job.id()) != null) {
+      turnsOf(job.service()).cancelled(job);
+    }
+  }
+
   /** Returns the queues, of which some may be empty; jobs can be removed from them. */
   Collection<NavigableSet<FleetJob>> queues() {
     return queues.values();
--- a/routing/src/test/java/org/endivemux/routing/fleet/FairSharesTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FairSharesTest.java
@@ -58,6 +58,20 @@
     assertThat(turns.next(job(2, 6, 0, Set.of()))).isGreaterThan(turn);
   }
 
+  /** Guards against an organisation that pays for requests which were refused while they waited. */
+  @Example
+  void refusedRequestsAreNotCharged() {
+    WaitingJobs waiting = new WaitingJobs(service -> true);
+    List<FleetJob> refused =
+        IntStream.range(0, 100).mapToObj(number -> job(1, number, 0, Set.of())).toList();
+    refused.forEach(waiting::add);
+    refused.forEach(waiting::remove);
+    IntStream.range(0, 3).forEach(i -> waiting.add(job(2, 200 + i, 0, Set.of())));
+    waiting.add(job(1, 300, 1, Set.of()));
+    assertThat(waiting.queues().iterator().next().stream().map(job -> job.id().value()))
+        .containsExactly("r200", "r300", "r201", "r202");
+  }
+
   /** Guards against a retry that pays for its request twice and waits behind new ones. */
   @Example
   void repeatedAttemptHasItsTurnAtOnce() {
