--- a/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
@@ -13,7 +13,7 @@
 import org.endivemux.model.gateway.ServerListing;
 import org.endivemux.model.gateway.ServiceName;
 
-/** Checks what entries report of servers is handed on with the list of servers. */
+/** Checks that what entries report of servers is handed on with the list of servers. */
 final class ServerDirectoryTest {
   private static final long TERM = 3;
   private static final BackendServerId LEAVING = new BackendServerId("s1");
--- a/daemon/src/test/java/org/endivemux/daemon/EntryDrainTest.java
+++ b/daemon/src/test/java/org/endivemux/daemon/EntryDrainTest.java
@@ -31,6 +31,7 @@
     return stop.ended().toFuture().isDone();
   }
 
+  /** Guards against an entry that ends while callers may still have its address. */
   @Example
   void idleEntryEndsAfterItHasServedOn() {
     inFlight.set(0);
@@ -42,6 +43,7 @@
     assertThat(areRequestsEnded()).isFalse();
   }
 
+  /** Guards against requests that are cut off because they were answered too late. */
   @Example
   void requestThatDoesNotEndIsAnsweredWithinTheLimit() {
     start();
--- a/gateway/src/test/java/org/endivemux/gateway/UrgenciesTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/UrgenciesTest.java
@@ -77,6 +77,7 @@
         .isLessThan(urgencies.of(routes.get(0), OptionalInt.of(3)));
   }
 
+  /** Guards against requests that have no rank because no organisation has a priority. */
   @Example
   void requestWithoutAnOrganisationsPriorityHasThatOfItsRoute() {
     List<HostRoute> routes = List.of(route(0, true), route(2, false));
