Do not send a request on a connection that answered it with an error before

Report: TWICE, a request that must run once ran twice; a response too many may be the copy of a refusal and bear the id of a request that is under way again on the same connection. Cause: responses are told apart by the request's id. A copy of the earlier refusal was taken for the response to the request that was sent again, which counted as not run and went on to another server while the first one ran it. A caller that repeats a request under its id leads there, and an address that the platform has given to another server. Change: a connection remembers the requests that it answered with errors (64 at most, then it is closed).

--- a/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
@@ -15,8 +15,10 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.endivemux.wire.http.StrayBytes.Position;
 import reactor.netty.Connection;
@@ -31,7 +33,9 @@
  * connection on which they arrived while no request was in progress is closed at once, and one on
  * which they came before a response, or in the same read after it, is closed after that response; a
  * response without an id is accepted for the first request of a connection only, which is then
- * closed; an interim response is never passed on.
+ * closed; an interim response is never passed on. A copy of an error response cannot be told from
+ * the response to the same request when it is sent again, so a connection remembers the requests
+ * that it answered with errors; see {@link #hasAnsweredWithError}.
  *
  * <p>Confined to the connection's event loop.
  */
@@ -40,12 +44,17 @@
   /** As long as the longest response that is passed on, since a late copy may be as long. */
   private static final long MAX_SKIPPED_BYTES = 8 << 20;
 
+  /** A connection that has answered so many requests with errors is closed. */
+  private static final int MAX_ERRORS = 64;
+
   private final String idHeader;
   private final ResponseHeads heads;
   private final Consumer<StrayBytes> listener;
   private Optional<HttpRequest> inProgress = Optional.empty();
   private Optional<String> previous = Optional.empty();
+  private final Set<String> answeredWithError = new HashSet<>();
   private boolean isReused;
+  private boolean isError;
   private boolean hasHead;
   private long skipped;
   private boolean hasFailed;
@@ -75,6 +84,18 @@
                     new ExchangeCodec(idHeader, listener)));
   }
 
+  /**
+   * Returns whether a request was answered with an error on this connection before. It must not be
+   * sent there again, since a late copy of that error could be taken for the response. Called on
+   * the connection's event loop.
+   *
+   * @param id value of the id header of the request
+   */
+  public static boolean hasAnsweredWithError(Connection connection, String id) {
+    return connection.channel().pipeline().get(NettyPipeline.HttpCodec) instanceof ExchangeCodec it
+        && it.answeredWithError.contains(id);
+  }
+
   private void start(HttpRequest request) {
     inProgress = Optional.of(request);
     // No earlier request can have left anything on a new connection.
@@ -89,6 +110,12 @@
       drop(context, Position.AFTER_RESPONSE, rest);
     }
     previous = requestId();
+    if (isError) {
+      previous.ifPresent(answeredWithError::add);
+    }
+    if (answeredWithError.size() >= MAX_ERRORS) {
+      closeAfterResponse(context);
+    }
     inProgress = Optional.empty();
     isReused = true;
   }
@@ -161,6 +188,7 @@
 
     private void decoded(ChannelHandlerContext context, Object first, Object last, ByteBuf rest) {
       if (first instanceof HttpResponse response) {
+        isError = response.status().codeClass() != HttpStatusClass.SUCCESS;
         boolean isSwitch = response.status().equals(SWITCHING_PROTOCOLS);
         if (isSwitch || !response.headers().contains(idHeader)) {
           closeAfterResponse(context);
