Respect the rate limits that backend servers state

Change: StatedLimits keeps the sum of all entries within the limit without communication: the entries that rank highest for the server share three quarters of it, without a backlog, and the others take turns for the rest, so that they learn of its end. The ranks of WarmUpLimit are a class of their own now.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -36,6 +36,7 @@
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.OverloadProtection;
 import org.endivemux.routing.fleet.ServerNotices;
+import org.endivemux.routing.fleet.StatedLimits;
 import org.endivemux.routing.fleet.WarmUpLimit;
 import org.endivemux.wire.PeerLink;
 import reactor.core.publisher.Flux;
@@ -104,12 +105,14 @@
                 settings.domain(),
                 notices,
                 new WarmUpLimit(settings.peerId(), this::liveEntries, settings.coldBounds()),
+                new StatedLimits(settings.peerId(), this::liveEntries),
                 new OverloadProtection(settings.isOverloadProtected(), this::entryCount)),
             notices,
             clocks::nanos,
             timers);
     metrics.register("servers.leaving", (Gauge<Integer>) () -> pool.figures().leaving().size());
     metrics.register("servers.paused", (Gauge<Integer>) pool.figures()::pausedCount);
+    metrics.register("servers.limited", (Gauge<Integer>) pool.figures()::limitedCount);
     metrics.register("domains.evacuated", (Gauge<Integer>) pool::evacuatedCount);
     metrics.register("servers.cold", (Gauge<Integer>) pool.figures()::coldCount);
     metrics.register("servers.speedSpread", (Gauge<Double>) pool.figures()::speedSpread);
--- a/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
+++ b/gateway/src/main/java/org/endivemux/gateway/BackendPort.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.Function;
 import org.endivemux.model.OrganisationId;
@@ -69,6 +70,8 @@
    * @param addressReassigned whether the address now belongs to another backend server
    * @param leaving whether the backend server states that it leaves
    * @param pause how long the backend server wants no further requests; zero if it does not say
+   * @param requestsPerSecond rate limit that the backend server states for the requests of all
+   *     entries together, if it does
    * @param report what the backend server states of its load, if it does
    */
   record Response(
@@ -78,9 +81,10 @@
       boolean addressReassigned,
       boolean leaving,
       Duration pause,
+      OptionalDouble requestsPerSecond,
       Optional<ServerReport> report,
       Flux<byte[]> body) {
-    /** Creates a response that states no load. */
+    /** Creates a response that states no rate limit and no load. */
     public Response(
         int status,
         HttpHeaders headers,
@@ -89,7 +93,16 @@
         boolean leaving,
         Duration pause,
         Flux<byte[]> body) {
-      this(status, headers, notRun, addressReassigned, leaving, pause, Optional.empty(), body);
+      this(
+          status,
+          headers,
+          notRun,
+          addressReassigned,
+          leaving,
+          pause,
+          OptionalDouble.empty(),
+          Optional.empty(),
+          body);
     }
   }
 }
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -62,7 +62,7 @@
    */
   Flux<ResponsePart> read(
       AdmittedRequest request, Progress progress, Binding binding, long sentAt, Response response) {
-    heed(binding.server(), response);
+    heed(binding.server(), sentAt, response);
     RequestId id = binding.job().id();
     if (response.notRun()) {
       return BoundedBytes.discard(response.body(), MAX_REJECTION_BYTES, MAX_REJECTION_TIME)
@@ -104,13 +104,16 @@
         .flatMapMany(bytes -> completeResponse(progress, response, bytes));
   }
 
-  private void heed(GatewayServer server, Response response) {
+  private void heed(GatewayServer server, long sentAt, Response response) {
     if (response.leaving()) {
       pool.feedback().leaves(server);
     }
     if (!response.pause().isZero()) {
       pool.feedback().pauses(server, response.pause());
     }
+    if (!response.addressReassigned()) {
+      pool.feedback().limitStated(server, response.requestsPerSecond(), sentAt);
+    }
     response.report().ifPresent(report -> pool.feedback().reported(server, report));
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerFeedback.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerFeedback.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.OptionalDouble;
 import java.util.function.LongSupplier;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.gateway.GatewayServer;
@@ -72,6 +73,27 @@
             .subscribe();
   }
 
+  /**
+   * Records the rate limit that a response states, or that it states none.
+   *
+   * @param requestsPerSecond limit for the requests of all entries together
+   * @param sentAt when the request was sent, in monotonic nanoseconds
+   */
+  void limitStated(GatewayServer server, OptionalDouble requestsPerSecond, long sentAt) {
+    boolean isNew;
+    synchronized (lock) {
+      isNew = scheduler.limitStated(server.id(), requestsPerSecond, sentAt, nanos.getAsLong());
+    }
+    if (isNew && requestsPerSecond.isPresent()) {
+      logger.atInfo().log(
+          "event=server_limited backend=%s requestsPerSecond=%s",
+          server.id(), requestsPerSecond.getAsDouble());
+    } else if (isNew) {
+      logger.atInfo().log("event=server_limit_ended backend=%s", server.id());
+      bind.run();
+    }
+  }
+
   /** Records what a server reports of its load. */
   void reported(GatewayServer server, ServerReport report) {
     boolean isFirst;
--- a/gateway/src/main/java/org/endivemux/gateway/ServerFigures.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerFigures.java
@@ -61,6 +61,13 @@
     }
   }
 
+  /** Returns the number of servers that have stated a rate limit. */
+  public int limitedCount() {
+    synchronized (lock) {
+      return scheduler.limitedCount();
+    }
+  }
+
   /** Returns the number of requests that overload protection makes wait. */
   public int heldBackCount() {
     synchronized (lock) {
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -43,7 +43,7 @@
   private static final long RETRY_AFTER_SPREAD_MILLIS = 750;
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
-  /** How often waiting requests are bound while the usable slots of a server grow. */
+  /** How often waiting requests are bound while servers can be used again by time alone. */
   static final Duration RESUMPTION_STEP = Duration.ofMillis(50);
 
   private final Object lock = new Object();
@@ -54,7 +54,7 @@
   private final Scheduler timers;
   private final Map<RequestId, Sinks.One<Binding>> waiting = new HashMap<>();
   private Set<FailureDomain> evacuated = Set.of();
-  private final AtomicBoolean warmUpStepPending = new AtomicBoolean();
+  private final AtomicBoolean stepPending = new AtomicBoolean();
 
   /**
    * @param notices what servers have said of themselves; the scheduler reads the same
@@ -218,22 +218,22 @@
     List<Binding> bound;
     List<WarmUpLimit.Decision> decisions;
     List<FleetJob> unserved;
-    boolean awaitsWarmUp;
+    boolean awaitsTime;
     int heldBack;
     synchronized (lock) {
       long now = nanos.getAsLong();
       bound = scheduler.bind(now);
       unserved = scheduler.removeEvacuated();
       decisions = scheduler.takeWarmUpDecisions();
-      awaitsWarmUp = scheduler.awaitsWarmUp(now);
+      awaitsTime = scheduler.awaitsTime(now);
       heldBack = scheduler.heldBackCount();
     }
     decisions.forEach(ServerPool::log);
     if (heldBack > 0) {
       logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log("event=held_back requests=%d", heldBack);
     }
-    if (awaitsWarmUp && warmUpStepPending.compareAndSet(false, true)) {
-      var unused = Mono.delay(RESUMPTION_STEP, timers).subscribe(step -> bindAfterWarmUpStep());
+    if (awaitsTime && stepPending.compareAndSet(false, true)) {
+      var unused = Mono.delay(RESUMPTION_STEP, timers).subscribe(step -> bindAfterStep());
     }
     bound.forEach(this::deliver);
     unserved.forEach(this::refuseEvacuated);
@@ -249,8 +249,8 @@
     }
   }
 
-  private void bindAfterWarmUpStep() {
-    warmUpStepPending.set(false);
+  private void bindAfterStep() {
+    stepPending.set(false);
     bind();
   }
 
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -7,6 +7,7 @@
 import java.util.NavigableMap;
 import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.endivemux.model.BackendServerId;
@@ -25,13 +26,15 @@
  *
  * <p>Does no I/O and reads no clock: monotonic nanoseconds are passed in. Invariants: a server that
  * is leaving or paused, is in an evacuated domain or that the job avoids gets nothing, and one in
- * backoff gets nothing while another has capacity; a cold one gets what {@link WarmUpLimit} allows;
- * waiting jobs are bound by urgency, then, under overload protection, by fair shares of the
- * organisations, and then by arrival. Not thread-safe: one caller at a time.
+ * backoff gets nothing while another has capacity; a cold one gets what {@link WarmUpLimit} allows,
+ * and one that has stated a limit what {@link StatedLimits} allows; waiting jobs are bound by
+ * urgency, then, under overload protection, by fair shares of the organisations, and then by
+ * arrival. Not thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private final ServerNotices notices;
   private final WarmUpLimit warmUp;
+  private final StatedLimits statedLimits;
   private final FleetServers servers;
   private final SlotLimits limits;
   private final ServerChooser chooser;
@@ -45,16 +48,27 @@
     this(domain, notices, WarmUpLimit.withoutEntries(), OverloadProtection.off());
   }
 
-  /** Creates a scheduler; {@code warmUp}, which limits cold servers, is used by no other one. */
+  /** Creates a scheduler that sends nothing to servers that have stated a limit. */
   public FleetScheduler(
       FailureDomain domain,
       ServerNotices notices,
       WarmUpLimit warmUp,
       OverloadProtection protection) {
+    this(domain, notices, warmUp, StatedLimits.withoutEntries(), protection);
+  }
+
+  /** Creates a scheduler; {@code warmUp} and {@code statedLimits} are used by no other one. */
+  public FleetScheduler(
+      FailureDomain domain,
+      ServerNotices notices,
+      WarmUpLimit warmUp,
+      StatedLimits statedLimits,
+      OverloadProtection protection) {
     this.notices = notices;
     this.warmUp = warmUp;
+    this.statedLimits = statedLimits;
     this.servers = new FleetServers(notices);
-    this.limits = new SlotLimits(notices, warmUp);
+    this.limits = new SlotLimits(notices, warmUp, statedLimits);
     this.chooser = new ServerChooser(domain, servers, limits, warmUp, speeds, protection);
     this.admissions = chooser.admissions();
     this.waiting = new WaitingJobs(admissions::isOn);
@@ -106,12 +120,29 @@
   }
 
   /** Returns whether jobs wait that may be bound by the passing of time alone. */
-  public boolean awaitsWarmUp(long now) {
-    return !waiting.isEmpty() && warmUp.isWarmingUp(now);
+  public boolean awaitsTime(long now) {
+    return !waiting.isEmpty() && (warmUp.isWarmingUp(now) || statedLimits.isLimiting());
+  }
+
+  /**
+   * Records the rate limit that a response states; returns whether it differs from the one before.
+   *
+   * @param requestsPerSecond limit for all entries together, empty if the response states none
+   * @param sentAt when the request was sent, in monotonic nanoseconds
+   */
+  public boolean limitStated(
+      BackendServerId server, OptionalDouble requestsPerSecond, long sentAt, long now) {
+    return statedLimits.stated(server, requestsPerSecond, sentAt, now);
+  }
+
+  /** Returns the number of servers that have stated a limit. */
+  public int limitedCount() {
+    return statedLimits.count();
   }
 
   /** Replaces the list of backend servers; one that is no longer listed gets no new work. */
   public void updateServers(List<GatewayServer> listed) {
+    statedLimits.updateServers(listed);
     chooser.updateServers(listed);
     servers.updateServers(listed);
   }
@@ -190,6 +221,7 @@
     load.started(job, now);
     waiting.started(job);
     warmUp.sent(load.server().id(), now);
+    statedLimits.sent(load.server().id(), now);
     running.put(job.id(), load);
     return new Binding(job, load.server(), copyFrom, chooser.expectedPrefillNanos(load, now));
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/SlotLimits.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/SlotLimits.java
@@ -3,7 +3,8 @@
 import org.endivemux.model.BackendServerId;
 
 /**
- * Limits how many requests a server is sent, by its slots, its notices and its warm-up.
+ * Limits how many requests a server is sent, by its slots, its notices, its warm-up and the rate
+ * that it has stated.
  *
  * <p>A fleet counts as large while sums of the load of all other entries arrive. Not thread-safe.
  */
@@ -25,11 +26,13 @@
 
   private final ServerNotices notices;
   private final WarmUpLimit warmUp;
+  private final StatedLimits statedLimits;
   private long aggregateLoadAt = NEVER;
 
-  SlotLimits(ServerNotices notices, WarmUpLimit warmUp) {
+  SlotLimits(ServerNotices notices, WarmUpLimit warmUp, StatedLimits statedLimits) {
     this.notices = notices;
     this.warmUp = warmUp;
+    this.statedLimits = statedLimits;
   }
 
   /** Records that a sum of the load of all other entries has arrived. */
@@ -53,9 +56,12 @@
     return isLarge(now) ? usable * LARGE_FLEET_CAPACITY_FACTOR : usable;
   }
 
-  /** Returns the slots that the server's notices and its warm-up allow. */
+  /** Returns the slots that the server's notices, its warm-up and its stated limit allow. */
   int usableSlots(ServerLoad load, long now) {
     BackendServerId id = load.server().id();
+    if (!statedLimits.allows(id, now)) {
+      return 0;
+    }
     return Math.min(
         notices.usableSlots(id, slots(load), now), warmUp.usableSlots(id, slots(load), now));
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
@@ -16,7 +16,6 @@
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
 import org.endivemux.model.gateway.WarmUp;
-import org.endivemux.routing.RendezvousHash;
 
 /**
  * Limits the requests that all entries together send to a cold server, without communication.
@@ -39,15 +38,11 @@
   /** Bounds the log lines when a whole domain turns cold at once. */
   private static final int MAX_DECISIONS = 64;
 
-  private final VmId self;
-  private final Supplier<List<EntryInfo>> liveEntries;
+  private final EntryRanks ranks;
   private final Bounds bounds;
   private final Map<ServiceName, WarmUp> warmUps = new HashMap<>();
   private final Map<BackendServerId, ColdState> states = new HashMap<>();
   private final List<Decision> decisions = new ArrayList<>();
-  private List<EntryInfo> entries = List.of();
-  private List<VmId> entryIds = List.of();
-  private long entriesChangedAt;
   private boolean hasList;
 
   /**
@@ -77,8 +72,7 @@
    * @param liveEntries returns the list of live entries, empty as long as it is not known
    */
   public WarmUpLimit(VmId self, Supplier<List<EntryInfo>> liveEntries, Bounds bounds) {
-    this.self = self;
-    this.liveEntries = liveEntries;
+    this.ranks = new EntryRanks(self, liveEntries);
     this.bounds = bounds;
   }
 
@@ -99,7 +93,7 @@
    * @param trueMillis true time at {@code now}, in Unix milliseconds
    */
   void updateServers(Collection<GatewayServer> listed, long now, long trueMillis) {
-    refreshEntries(now);
+    ranks.refresh(now);
     states.keySet().retainAll(listed.stream().map(GatewayServer::id).collect(Collectors.toSet()));
     listed.forEach(server -> updateServer(server, now, trueMillis));
     hasList |= !listed.isEmpty();
@@ -206,7 +200,7 @@
     if (state == null || now >= limitedUntil(state)) {
       return slots;
     }
-    refreshEntries(now);
+    ranks.refresh(now);
     return warmUp(state)
         .map(warmUp -> coldSlots(state, warmUp, slots, now))
         .orElseGet(() -> evacuatedSlots(state, slots, now));
@@ -215,23 +209,23 @@
   /** Returns the slots of a server whose service has no warm-up, after an evacuation. */
   private int evacuatedSlots(ColdState state, int slots, long now) {
     long elapsed = now - state.evacuatedUntil();
-    boolean takesPart = entryIds.isEmpty() || rank(state, 1) <= progress(elapsed) * entryIds.size();
+    boolean takesPart = ranks.count() == 0 || rank(state, 1) <= progress(elapsed) * ranks.count();
     return takesPart ? SlotRamp.usableSlots(1, slots, elapsed, RAMP_NANOS) : 0;
   }
 
   private int coldSlots(ColdState state, WarmUp warmUp, int slots, long now) {
-    if (entryIds.isEmpty() || state.isFailureUnlisted(now)) {
+    if (ranks.count() == 0 || state.isFailureUnlisted(now)) {
       return 0;
     }
     double limit = warmUp.requestsPerSecond() * bounds.overage() + bounds.slack();
-    ColdPace pace = ColdPace.of(warmUp, limit, entryIds.size());
+    ColdPace pace = ColdPace.of(warmUp, limit, ranks.count());
     long elapsed = Math.max(0, now - state.coldEnd(warmUp));
     double progress = progress(elapsed);
     int rank = rank(state, pace.senders());
     boolean takesPart =
         rank < pace.senders()
             ? now - state.senderSince() >= TAKEOVER_NANOS
-            : rank < progress * entryIds.size();
+            : rank < progress * ranks.count();
     if (!takesPart || now - state.sentAt() < pace.intervalNanos() * (1 - progress)) {
       return 0;
     }
@@ -256,26 +250,10 @@
     Optional.ofNullable(states.get(server)).ifPresent(state -> state.sent(now));
   }
 
-  private void refreshEntries(long now) {
-    List<EntryInfo> current = liveEntries.get();
-    if (current != entries) {
-      entries = current;
-      List<VmId> ids = current.stream().map(EntryInfo::vm).distinct().sorted().toList();
-      if (!ids.equals(entryIds)) {
-        entryIds = ids;
-        entriesChangedAt = now;
-      }
-    }
-  }
-
   /** Returns this entry's rank for a server; beyond all others if it is not among the entries. */
   private int rank(ColdState state, int senders) {
-    if (!state.isRankedFor(entriesChangedAt)) {
-      int rank =
-          RendezvousHash.highest(
-                  state.server().id().value(), entryIds, VmId::value, entryIds.size())
-              .indexOf(self);
-      state.updateRank(rank < 0 ? Integer.MAX_VALUE : rank, senders, entriesChangedAt);
+    if (!state.isRankedFor(ranks.changedAt())) {
+      state.updateRank(ranks.rank(state.server().id()), senders, ranks.changedAt());
     }
     return state.rank();
   }
