Check a configuration before it is sent

Cause: operators learned of errors only from Config.Put, and of entries without effect not at all. GatewayConfigReview and GatewayConfigDifference decide, ConfigReport decodes; keys are never shown. ConfigReportTest, ConfigCheckCommandTest green.

--- a/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
+import java.util.Optional;
 import joptsimple.OptionException;
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
@@ -37,6 +38,14 @@
             .accepts("gateway-settings", "the settings file of a gateway in YAML")
             .withRequiredArg();
     OptionSpec<Void> check = parser.accepts("check", "check the settings and exit");
+    OptionSpec<String> config =
+        parser
+            .accepts("check-config", "check a configuration before it is sent, and exit")
+            .withRequiredArg();
+    OptionSpec<String> inForce =
+        parser
+            .accepts("in-force", "with --check-config: the version in force, to show differences")
+            .withRequiredArg();
     OptionSpec<Void> help = parser.accepts("help", "show this help").forHelp();
     try {
       OptionSet options = parser.parse(args);
@@ -44,6 +53,12 @@
         parser.printHelpOn(System.out);
         return 0;
       }
+      if (options.has(config)) {
+        return new ConfigCheckCommand(System.out)
+            .run(
+                Path.of(options.valueOf(config)),
+                Optional.ofNullable(options.valueOf(inForce)).map(Path::of));
+      }
       if (options.has(gateway)) {
         return startGateway(Path.of(options.valueOf(gateway)), options.has(check));
       }
