Show only the values that changed in the check of a configuration

Cause: a changed route was shown as two whole records. Change: GatewayConfigDifference compares the parts of a record; keys appear by their number. Result: ConfigReportTest: "~ route r: priority 0 -> 3".

--- a/model/src/main/java/org/endivemux/model/gateway/GatewayConfigDifference.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayConfigDifference.java
@@ -1,5 +1,7 @@
 package org.endivemux.model.gateway;
 
+import java.lang.reflect.RecordComponent;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -15,7 +17,7 @@
 
   /**
    * Returns one line for each part that is added ({@code +}), removed ({@code -}) or changed
-   * ({@code ~}); keys appear by their number only.
+   * ({@code ~}, with the values that changed); of keys only their number appears.
    */
   public static List<String> lines(GatewayConfig from, GatewayConfig to) {
     return Stream.of(
@@ -31,7 +33,7 @@
         .toList();
   }
 
-  private static <T> Stream<String> ofParts(
+  private static <T extends Record> Stream<String> ofParts(
       String kind, List<T> from, List<T> to, Function<T, String> name) {
     Map<String, T> before = byName(from, name);
     Map<String, T> after = byName(to, name);
@@ -42,27 +44,39 @@
         .map(it -> line(kind + " " + it, before.get(it), after.get(it)));
   }
 
-  private static <T> Map<String, T> byName(List<T> parts, Function<T, String> name) {
+  private static <T extends Record> Map<String, T> byName(List<T> parts, Function<T, String> name) {
     return parts.stream()
         .collect(Collectors.toMap(name, part -> part, (first, second) -> first, TreeMap::new));
   }
 
-  private static <T> String line(String part, T before, T after) {
+  private static <T extends Record> String line(String part, T before, T after) {
     if (before == null) {
-      return "+ " + part + ": " + describe(after);
+      return "+ " + part;
     }
-    return after == null
-        ? "- " + part
-        : "~ " + part + ": " + describe(before) + " -> " + describe(after);
+    return after == null ? "- " + part : "~ " + part + ": " + changes(before, after);
   }
 
-  private static String describe(Object part) {
-    return part instanceof OrganisationKeys organisation
-        ? organisation.keys().size()
-            + " keys, priority "
-            + (organisation.priority().isPresent()
-                ? organisation.priority().getAsInt()
-                : "of the route")
-        : part.toString();
+  private static <T extends Record> String changes(T before, T after) {
+    return Arrays.stream(before.getClass().getRecordComponents())
+        .filter(component -> !value(component, before).equals(value(component, after)))
+        .map(component -> change(component, before, after))
+        .collect(Collectors.joining(", "));
+  }
+
+  private static String change(RecordComponent component, Record before, Record after) {
+    Object from = value(component, before);
+    Object to = value(component, after);
+    return component.getName()
+        + (before instanceof OrganisationKeys && from instanceof List<?> oldKeys
+            ? " (" + oldKeys.size() + " -> " + ((List<?>) to).size() + ")"
+            : " " + from + " -> " + to);
+  }
+
+  private static Object value(RecordComponent component, Record part) {
+    try {
+      return component.getAccessor().invoke(part);
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException(e);
+    }
   }
 }
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayConfigReview.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayConfigReview.java
@@ -42,7 +42,7 @@
                 name + " never matches: no path can begin with \"" + route.pathPrefix() + "\"."),
             findIf(
                 route.targetMillis() > route.timeoutMillis(),
-                name + " has a target above its timeout, so no late response is ever sent."),
+                name + " has a target above its timeout, which ends requests first."),
             findIf(
                 route.gapMillis() > route.timeoutMillis(),
                 name + " allows pauses between events that are longer than its timeout."),
