Share the rank of a sender between warm-up and stated limits

Cause: the same take-over rule stood in ColdState and in StatedLimits. Change: SenderRank holds an entry's rank for a server and since when it may send.

--- a/routing/src/main/java/org/endivemux/routing/fleet/ColdState.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ColdState.java
@@ -26,12 +26,11 @@
   private long listedRefusalMillis;
   private long evacuatedUntil = NEVER;
   private long sentAt = NEVER;
-  private long rankedAt = NEVER;
-  private int rank = Integer.MAX_VALUE;
-  private long senderSince;
+  private final SenderRank rank;
 
   ColdState(GatewayServer server) {
     this.server = server;
+    this.rank = new SenderRank(server.id());
   }
 
   GatewayServer server() {
@@ -130,30 +129,8 @@
     return sentAt;
   }
 
-  /** Returns whether the rank was computed from the list of entries of a time. */
-  boolean isRankedFor(long entriesChangedAt) {
-    return rankedAt == entriesChangedAt;
-  }
-
-  /**
-   * Records this entry's rank among the live entries.
-   *
-   * @param entriesChangedAt since when the list of entries has been as it is
-   */
-  void updateRank(int newer, int senders, long entriesChangedAt) {
-    if (rankedAt == NEVER || rank >= senders) {
-      senderSince = entriesChangedAt;
-    }
-    rank = newer;
-    rankedAt = entriesChangedAt;
-  }
-
-  int rank() {
+  /** Returns this entry's rank among the live entries. */
+  SenderRank rank() {
     return rank;
   }
-
-  /** Returns since when this entry has had the rank of a sender, if it has it. */
-  long senderSince() {
-    return senderSince;
-  }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/StatedLimits.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/StatedLimits.java
@@ -24,9 +24,6 @@
  * thread-safe.
  */
 public final class StatedLimits {
-  /** Time in which a change of the list of entries reaches all entries in contact. */
-  private static final long TAKEOVER_NANOS = 1_000_000_000L;
-
   /** A server that states less still gets this, since nobody would learn of the end otherwise. */
   private static final double MIN_REQUESTS_PER_SECOND = 0.1;
 
@@ -65,7 +62,7 @@
       return known != null && sentAt - known.statedAt > 0 && states.remove(server, known);
     }
     double limit = Math.max(MIN_REQUESTS_PER_SECOND, requestsPerSecond.getAsDouble());
-    State state = states.computeIfAbsent(server, id -> new State(now));
+    State state = states.computeIfAbsent(server, id -> new State(id, now));
     boolean isNew = state.limit != limit;
     state.limit = limit;
     state.statedAt = now;
@@ -93,20 +90,20 @@
       return false;
     }
     LimitShares shares = LimitShares.of(state.limit, ranks.count());
-    state.updateRank(server, ranks, shares.senders());
-    if (state.rank < shares.senders()) {
-      return now - state.senderSince >= TAKEOVER_NANOS
+    int rank = state.rank.update(ranks, shares.senders());
+    if (rank < shares.senders()) {
+      return state.rank.hasTakenOver(now)
           && now - state.sentAt >= nanosPerRequest(shares.requestsPerSender());
     }
-    return state.rank < ranks.count() && hasTurn(state, shares, now);
+    return rank < ranks.count() && hasTurn(state, rank - shares.senders(), shares, now);
   }
 
-  /** Returns whether it is an entry's turn, in which it has not sent anything yet. */
-  private boolean hasTurn(State state, LimitShares shares, long now) {
+  /** Returns whether it is this entry's turn, in which it has not sent anything yet. */
+  private boolean hasTurn(State state, int number, LimitShares shares, long now) {
     long turnNanos = nanosPerRequest(shares.requestsOfOthers());
     int others = ranks.count() - shares.senders();
     long turn = Math.floorDiv(now - state.since, turnNanos);
-    return Math.floorMod(turn, others) == state.rank - shares.senders()
+    return Math.floorMod(turn, others) == number
         && Math.floorDiv(state.sentAt - state.since, turnNanos) < turn;
   }
 
@@ -124,29 +121,17 @@
 
   /** Holds the limit of one server and this entry's part in it. */
   private static final class State {
-    private static final long NEVER = Long.MIN_VALUE / 2;
-
+    private final SenderRank rank;
     private final long since;
     private double limit;
     private long statedAt;
     private long sentAt;
-    private int rank = Integer.MAX_VALUE;
-    private long rankedAt = NEVER;
-    private long senderSince = NEVER;
 
     /** Creates the state of a server that has stated a limit in a response to a request. */
-    State(long now) {
+    State(BackendServerId server, long now) {
+      this.rank = new SenderRank(server);
       this.since = now;
       this.sentAt = now;
     }
-
-    void updateRank(BackendServerId server, EntryRanks ranks, int senders) {
-      if (rankedAt != ranks.changedAt()) {
-        boolean wasSender = rankedAt == NEVER || rank < senders;
-        senderSince = wasSender ? senderSince : ranks.changedAt();
-        rank = ranks.rank(server);
-        rankedAt = ranks.changedAt();
-      }
-    }
   }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WarmUpLimit.java
@@ -32,9 +32,6 @@
   /** Time in which a server gets back to all of its slots after a cold period or evacuation. */
   public static final long RAMP_NANOS = 2_000_000_000L;
 
-  /** Time in which a change of the list of entries reaches all entries in contact. */
-  private static final long TAKEOVER_NANOS = 1_000_000_000L;
-
   /** Bounds the log lines when a whole domain turns cold at once. */
   private static final int MAX_DECISIONS = 64;
 
@@ -209,7 +206,8 @@
   /** Returns the slots of a server whose service has no warm-up, after an evacuation. */
   private int evacuatedSlots(ColdState state, int slots, long now) {
     long elapsed = now - state.evacuatedUntil();
-    boolean takesPart = ranks.count() == 0 || rank(state, 1) <= progress(elapsed) * ranks.count();
+    boolean takesPart =
+        ranks.count() == 0 || state.rank().update(ranks, 1) <= progress(elapsed) * ranks.count();
     return takesPart ? SlotRamp.usableSlots(1, slots, elapsed, RAMP_NANOS) : 0;
   }
 
@@ -221,11 +219,9 @@
     ColdPace pace = ColdPace.of(warmUp, limit, ranks.count());
     long elapsed = Math.max(0, now - state.coldEnd(warmUp));
     double progress = progress(elapsed);
-    int rank = rank(state, pace.senders());
+    int rank = state.rank().update(ranks, pace.senders());
     boolean takesPart =
-        rank < pace.senders()
-            ? now - state.senderSince() >= TAKEOVER_NANOS
-            : rank < progress * ranks.count();
+        rank < pace.senders() ? state.rank().hasTakenOver(now) : rank < progress * ranks.count();
     if (!takesPart || now - state.sentAt() < pace.intervalNanos() * (1 - progress)) {
       return 0;
     }
@@ -249,12 +245,4 @@
   void sent(BackendServerId server, long now) {
     Optional.ofNullable(states.get(server)).ifPresent(state -> state.sent(now));
   }
-
-  /** Returns this entry's rank for a server; beyond all others if it is not among the entries. */
-  private int rank(ColdState state, int senders) {
-    if (!state.isRankedFor(ranks.changedAt())) {
-      state.updateRank(ranks.rank(state.server().id()), senders, ranks.changedAt());
-    }
-    return state.rank();
-  }
 }
