--- a/model/src/main/java/org/endivemux/model/gateway/GatewayConfigDifference.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayConfigDifference.java
@@ -17,11 +17,12 @@
 
   /**
    * Returns one line for each part that is added ({@code +}), removed ({@code -}) or changed
-   * ({@code ~}, with the values that changed); of keys only their number appears.
+   * ({@code ~}, with the values that changed); routes are told apart by host and prefix, and of
+   * keys only the number appears.
    */
   public static List<String> lines(GatewayConfig from, GatewayConfig to) {
     return Stream.of(
-            ofParts("route", from.routes(), to.routes(), HostRoute::name),
+            ofParts("route", from.routes(), to.routes(), it -> it.host() + it.pathPrefix()),
             ofParts("service", from.services(), to.services(), it -> it.name().toString()),
             ofParts(
                 "organisation",
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayConfigReview.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayConfigReview.java
@@ -1,7 +1,9 @@
 package org.endivemux.model.gateway;
 
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -14,15 +16,18 @@
   /** Neither a host nor a path that callers send can contain these. */
   private static final Pattern NEVER_SENT = Pattern.compile("[\\s?#\\p{Cntrl}]");
 
-  private static final int LARGEST_SHARE = 1;
-
   private GatewayConfigReview() {}
 
   /** Returns one sentence for each finding, in the order of the configuration's parts. */
   public static List<String> findings(GatewayConfig config) {
     return Stream.of(
+            repeated(config.routes(), HostRoute::name, "Two routes share the name "),
             config.routes().stream().flatMap(GatewayConfigReview::ofRoute),
             config.services().stream().flatMap(service -> ofService(service, config)),
+            repeated(
+                config.organisations(),
+                OrganisationKeys::organisation,
+                "Two organisations share the name "),
             config.organisations().stream().flatMap(it -> ofOrganisation(it, config)),
             ofLimits(config.limits()))
         .flatMap(findings -> findings)
@@ -95,7 +100,7 @@
             findIf(bounds.max() < 1, name + " may have no server in any domain."),
             findIf(bounds.prices().isEmpty(), name + " has no domain to order servers in."),
             findIf(
-                bounds.spotPrice() > LARGEST_SHARE,
+                bounds.spotPrice() > 1,
                 name + " has spot servers that cost more than steady ones."))
         .flatMap(findings -> findings);
   }
@@ -124,6 +129,16 @@
         .flatMap(findings -> findings);
   }
 
+  private static <T> Stream<String> repeated(
+      List<T> parts, Function<T, Object> name, String sentence) {
+    return parts.stream()
+        .collect(Collectors.groupingBy(name, LinkedHashMap::new, Collectors.counting()))
+        .entrySet()
+        .stream()
+        .filter(entry -> entry.getValue() > 1)
+        .map(entry -> sentence + entry.getKey() + ".");
+  }
+
   private static Stream<String> findIf(boolean found, String sentence) {
     return found ? Stream.of(sentence) : Stream.empty();
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/StatedLimits.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/StatedLimits.java
@@ -127,7 +127,7 @@
     private long statedAt;
     private long sentAt;
 
-    /** Creates the state of a server that has stated a limit in a response to a request. */
+    /** Creates the state of a server that has just answered a request and stated its limit. */
     State(BackendServerId server, long now) {
       this.rank = new SenderRank(server);
       this.since = now;
