--- a/integration/src/test/java/org/endivemux/integration/HangupTest.java
+++ b/integration/src/test/java/org/endivemux/integration/HangupTest.java
@@ -40,6 +40,8 @@
 
   /**
    * Guards against a process that ignores the hangup of its terminal: it has no settings to read.
+   * Fails in a build that was started by {@code nohup}, since the JVM leaves a signal alone that is
+   * ignored when it starts.
    */
   @Example
   void hangupEndsTheProductsOwnInterface() {
