--- a/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
+++ b/daemon/src/main/java/org/endivemux/daemon/DaemonProcess.java
@@ -44,7 +44,8 @@
             .withRequiredArg();
     OptionSpec<String> inForce =
         parser
-            .accepts("in-force", "with --check-config: the version in force, to show differences")
+            .accepts("in-force", "the version in force, to show differences from it")
+            .availableIf("check-config")
             .withRequiredArg();
     OptionSpec<Void> help = parser.accepts("help", "show this help").forHelp();
     try {
--- a/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import net.jqwik.api.Example;
@@ -111,6 +112,40 @@
     return pool.digest().get(0).pendingPrefillTokens();
   }
 
+  /** Guards against a limit that another server states at an address that now belongs to it. */
+  @Example
+  void limitCountsForTheServerThatStatesIt() {
+    assertThat(limitedAfterRefusal(false)).isEqualTo(1);
+    assertThat(limitedAfterRefusal(true)).isZero();
+  }
+
+  /** Returns the number of limited servers after a refusal that states a limit. */
+  private static int limitedAfterRefusal(boolean addressReassigned) {
+    ServerPool pool = Fixtures.pool(System::nanoTime);
+    Response response =
+        new Response(
+            503,
+            new DefaultHttpHeaders(),
+            true,
+            addressReassigned,
+            false,
+            Duration.ZERO,
+            OptionalDouble.of(2),
+            Optional.empty(),
+            Flux.empty());
+    var unused =
+        reader(pool)
+            .read(
+                request(SOUND, RequestKind.IDEMPOTENT),
+                new Progress(OptionalLong.empty()),
+                binding(SOUND),
+                System.nanoTime(),
+                response)
+            .onErrorComplete()
+            .blockLast();
+    return pool.figures().limitedCount();
+  }
+
   /** Guards against responses without end that exhaust the memory for other services' responses. */
   @Example
   void bodiesWithoutEndAreEndedWhenTheyHoldTooMuch() {
--- a/integration/src/test/java/org/endivemux/integration/StatedLimitTest.java
+++ b/integration/src/test/java/org/endivemux/integration/StatedLimitTest.java
@@ -50,7 +50,8 @@
       assertThat(fleet.engines)
           .allSatisfy(
               engine ->
-                  assertThat(engine.mostArrivals(WINDOW, told)).isBetween(1L, MOST_IN_WINDOW));
+                  assertThat(engine.arrivalTimes().mostIn(WINDOW, told))
+                      .isBetween(1L, MOST_IN_WINDOW));
       limit(fleet, OptionalDouble.empty());
       int arrived = arrivals(fleet);
       Await.until("no limit", () -> arrivals(fleet) > arrived + 10 * MOST_IN_WINDOW);
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayConfigReview.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayConfigReview.java
@@ -111,7 +111,7 @@
         !config.routes().isEmpty() && config.routes().stream().allMatch(HostRoute::open);
     return Stream.of(
             findIf(keys.keys().isEmpty(), name + " has no key, so no request is ever its own."),
-            findIf(allOpen, name + " has keys, but every route is open."),
+            findIf(allOpen && !keys.keys().isEmpty(), name + " has keys, but every route is open."),
             findIf(keys.priority().orElse(0) < 0, name + " has a negative priority."))
         .flatMap(findings -> findings);
   }
--- a/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
@@ -8,9 +8,12 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.model.EntryInfo;
 import org.endivemux.model.FailureDomain;
+import org.endivemux.model.Incarnation;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.ServerKind;
+import org.endivemux.model.VmId;
 import org.endivemux.model.gateway.CapacityBounds;
 import org.endivemux.model.gateway.EngineProfile;
 import org.endivemux.model.gateway.GatewayServer;
@@ -32,6 +35,20 @@
     return new ServerNotices(Duration.ofMinutes(1));
   }
 
+  /** Returns the live entries with the given numbers. */
+  static List<EntryInfo> live(int from, int to) {
+    return IntStream.range(from, to)
+        .mapToObj(
+            i ->
+                new EntryInfo(
+                    vm(i), new Incarnation("1"), DOMAINS.get(i % 4), "10.1.0." + i, "", true))
+        .toList();
+  }
+
+  static VmId vm(int number) {
+    return new VmId("10.1.0." + number + ":70");
+  }
+
   static ServiceSpec spec() {
     return spec(6);
   }
--- a/routing/src/test/java/org/endivemux/routing/fleet/RestartWithinListLagTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/RestartWithinListLagTest.java
@@ -14,7 +14,7 @@
   /** Guards against entries that saw no failure and use a restarted engine as a warm one. */
   @Property(tries = 10, seed = "318")
   void enginesThatRestartWithinTheLagOfTheListStayWithinTheirLimit(@ForAll long seed) {
-    List<EntryInfo> all = WarmUpSimulation.live(0, 60);
+    List<EntryInfo> all = Fleet.live(0, 60);
     var run =
         new WarmUpSimulation(seed, 60, Optional.of(new WarmUp(3000, 13)), entry -> all)
             .traffic(480)
--- a/routing/src/test/java/org/endivemux/routing/fleet/StatedLimitsTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/StatedLimitsTest.java
@@ -16,8 +16,6 @@
 import net.jqwik.api.constraints.IntRange;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.EntryInfo;
-import org.endivemux.model.Incarnation;
-import org.endivemux.model.VmId;
 
 /** Tests the sum of what entries send to a server that has stated a limit. */
 final class StatedLimitsTest {
@@ -56,7 +54,7 @@
       @ForAll Random random) {
     start(count, limit, random);
     run(count, TOLD, END / 2);
-    IntStream.range(1, count).forEach(i -> views.put(i, view(1, count)));
+    IntStream.range(1, count).forEach(i -> views.put(i, Fleet.live(1, count)));
     run(count, END / 2, END / 2 + SECOND);
     entries.remove(0);
     run(count, END / 2 + SECOND, END);
@@ -90,8 +88,8 @@
     IntStream.range(0, count)
         .forEach(
             i -> {
-              views.put(i, view(0, count));
-              entries.put(i, new StatedLimits(vm(i), () -> views.get(i)));
+              views.put(i, Fleet.live(0, count));
+              entries.put(i, new StatedLimits(Fleet.vm(i), () -> views.get(i)));
               long told = random.nextInt(100) * Fleet.MILLI;
               entries.get(i).stated(SERVER, OptionalDouble.of(limit), told, told);
             });
@@ -125,17 +123,4 @@
   private static int allowed(double limit) {
     return (int) (1.5 * 4 * limit + 5);
   }
-
-  private static List<EntryInfo> view(int from, int to) {
-    return IntStream.range(from, to)
-        .mapToObj(
-            i ->
-                new EntryInfo(
-                    vm(i), new Incarnation("1"), Fleet.DOMAINS.get(i % 4), "10.1.0." + i, "", true))
-        .toList();
-  }
-
-  private static VmId vm(int number) {
-    return new VmId("10.1.0." + number + ":70");
-  }
 }
--- a/routing/src/test/java/org/endivemux/routing/fleet/WarmUpLimitTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/WarmUpLimitTest.java
@@ -28,7 +28,7 @@
   private static final VmId SELF = new VmId("10.1.0.0:70");
 
   private static WarmUpSimulation simulation(long seed, int entries, Optional<WarmUp> warmUp) {
-    List<EntryInfo> all = WarmUpSimulation.live(0, entries);
+    List<EntryInfo> all = Fleet.live(0, entries);
     return new WarmUpSimulation(seed, entries, warmUp, entry -> all).traffic(PEAK);
   }
 
@@ -92,8 +92,8 @@
   /** Guards against two views of the entry list that select different entries. */
   @Property(tries = 10, seed = "315")
   void twoDisjointViewsKeepTheLimit(@ForAll long seed) {
-    List<EntryInfo> first = WarmUpSimulation.live(0, 30);
-    List<EntryInfo> second = WarmUpSimulation.live(30, 60);
+    List<EntryInfo> first = Fleet.live(0, 30);
+    List<EntryInfo> second = Fleet.live(30, 60);
     var run =
         new WarmUpSimulation(seed, 60, Optional.of(WARM_UP), entry -> entry < 30 ? first : second)
             .traffic(PEAK)
@@ -112,7 +112,7 @@
   /** Guards against a backlog of an entry that was frozen, and against any other burst. */
   @Example
   void timeThatPassesGrantsOneRequest() {
-    WarmUpLimit limit = limit(WarmUpSimulation.live(0, 1));
+    WarmUpLimit limit = limit(Fleet.live(0, 1));
     limit.updateServers(listed(20_000), 0, 0);
     assertThat(slots(limit, 0)).isZero();
     assertThat(slots(limit, 8 * SECOND)).isEqualTo(8);
@@ -124,7 +124,7 @@
   /** Guards against requests of an entry that knows no list of entries, or is not in it. */
   @Example
   void entryWithoutAListOfEntriesSendsNothing() {
-    for (List<EntryInfo> view : List.of(WarmUpSimulation.live(0, 0), WarmUpSimulation.live(1, 9))) {
+    for (List<EntryInfo> view : List.of(Fleet.live(0, 0), Fleet.live(1, 9))) {
       WarmUpLimit limit = limit(view);
       limit.updateServers(listed(20_000), 0, 0);
       assertThat(slots(limit, 8 * SECOND)).isZero();
@@ -134,7 +134,7 @@
   /** Guards against a list read before a failure that ends the suspicion after it. */
   @Example
   void listThatIsOlderThanAFailureDoesNotEndTheColdTime() {
-    WarmUpLimit limit = limit(WarmUpSimulation.live(1, 9));
+    WarmUpLimit limit = limit(Fleet.live(1, 9));
     limit.updateServers(listed(0), 0, 0);
     assertThat(slots(limit, SECOND)).isEqualTo(8);
     limit.ended(server().id(), AttemptResult.FAILED, 2 * SECOND);
@@ -146,7 +146,7 @@
   /** Guards against all entries returning at once to a domain whose evacuation has ended. */
   @Example
   void evacuatedDomainIsColdOrGrowsInSteps() {
-    List<EntryInfo> view = WarmUpSimulation.live(0, 1);
+    List<EntryInfo> view = Fleet.live(0, 1);
     WarmUpLimit limit = limit(view);
     limit.updateServers(listed(0), 0, 0);
     limit.evacuationEnded(server().failureDomain(), 2 * SECOND);
--- a/routing/src/test/java/org/endivemux/routing/fleet/WarmUpSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/WarmUpSimulation.java
@@ -17,10 +17,8 @@
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.InFlightAt;
-import org.endivemux.model.Incarnation;
 import org.endivemux.model.RequestId;
 import org.endivemux.model.ServerKind;
-import org.endivemux.model.VmId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListing;
 import org.endivemux.model.gateway.ServiceSpec;
@@ -81,26 +79,13 @@
     IntStream.range(0, entryCount).forEach(i -> entries.add(newEntry(i)));
   }
 
-  static List<EntryInfo> live(int from, int to) {
-    return IntStream.range(from, to)
-        .mapToObj(
-            i ->
-                new EntryInfo(
-                    vm(i), new Incarnation("1"), Fleet.DOMAINS.get(i % 4), "10.1.0." + i, "", true))
-        .toList();
-  }
-
-  private static VmId vm(int number) {
-    return new VmId("10.1.0." + number + ":70");
-  }
-
   private FleetScheduler newEntry(int number) {
     List<EntryInfo> view = views.apply(number);
     FleetScheduler entry =
         new FleetScheduler(
             Fleet.DOMAINS.get(number % 4),
             Fleet.notices(),
-            new WarmUpLimit(vm(number), () -> view, new WarmUpLimit.Bounds(1.5, 5)),
+            new WarmUpLimit(Fleet.vm(number), () -> view, new WarmUpLimit.Bounds(1.5, 5)),
             OverloadProtection.off());
     entry.updateServices(List.of(spec));
     entry.updateServers(known, now, millis());
--- a/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
@@ -44,7 +44,7 @@
   /** As long as the longest response that is passed on, since a late copy may be as long. */
   private static final long MAX_SKIPPED_BYTES = 8 << 20;
 
-  /** A connection that has answered so many requests with errors is closed. */
+  /** Bounds the memory of a connection; one that has answered so many with errors is closed. */
   private static final int MAX_ERRORS = 64;
 
   private final String idHeader;
--- a/wire/src/test/java/org/endivemux/wire/http/ExchangeCodecTest.java
+++ b/wire/src/test/java/org/endivemux/wire/http/ExchangeCodecTest.java
@@ -20,6 +20,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.endivemux.wire.http.StrayBytes.Position;
 import reactor.netty.Connection;
+import reactor.netty.NettyPipeline;
 
 /** Tests which bytes of a server become the response to a request. */
 final class ExchangeCodecTest {
@@ -95,6 +96,29 @@
     assertThat(server.strays).isEmpty();
   }
 
+  /** Guards against a request that a copy of its earlier error could answer. */
+  @Example
+  void requestsThatWereAnsweredWithErrorsAreRemembered() {
+    Server server = new Server();
+    server.exchange("served", 200);
+    server.exchange("refused", 503);
+    server.exchange("other", 200);
+    assertThat(server.hasAnsweredWithError("refused")).isTrue();
+    assertThat(server.hasAnsweredWithError("served")).isFalse();
+  }
+
+  /** Guards against a connection whose memory of errors grows without bound. */
+  @Example
+  void connectionIsNotReusedAfterManyErrors() {
+    Server server = new Server();
+    for (int i = 0; i < 63; i++) {
+      server.exchange("call-" + i, 503);
+    }
+    assertThat(server.isKept()).isTrue();
+    server.exchange("last", 503);
+    assertThat(server.isKept()).isFalse();
+  }
+
   @Example
   void strayBytesAreReportedWithTheRequestsBeforeAndAfterThem() {
     Server server = new Server();
@@ -208,8 +232,18 @@
   /** Plays a server and a client on one connection. */
   private static final class Server {
     private final List<StrayBytes> strays = new ArrayList<>();
-    private final EmbeddedChannel channel =
-        new EmbeddedChannel(new ExchangeCodec(ID, strays::add), new HttpObjectAggregator(1 << 16));
+    private final EmbeddedChannel channel = new EmbeddedChannel();
+
+    private Server() {
+      channel
+          .pipeline()
+          .addLast(NettyPipeline.HttpCodec, new ExchangeCodec(ID, strays::add))
+          .addLast(new HttpObjectAggregator(1 << 16));
+    }
+
+    private boolean hasAnsweredWithError(String id) {
+      return ExchangeCodec.hasAnsweredWithError(Connection.from(channel), id);
+    }
 
     private void exchange(String id, int status) {
       send(id);
