Apply a difference of the server list only to the list that the poll named

Cause: an entry that has not heard its leader for 2.5 s reads the platform's list itself, which replaces the list that it polls with. A reply that was under way then, of the same leader, holds the difference from the replaced list, or none; the entry applied it to the list that it had read and took the leader's number for it. A server that left in the replaced list and was ready in the one that was read then stayed ready: the leader never sends it again.

Change: a difference, or no difference, counts only while the entry has the list that its poll named; a whole list always counts. Otherwise the number stays unknown and the next poll brings the whole list.

--- a/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
@@ -18,6 +19,7 @@
 import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.crash.PartVerdicts;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServerListUpdate;
 import org.endivemux.model.gateway.ServiceLoad;
 import org.endivemux.model.gateway.WindowCount;
 
@@ -25,8 +27,8 @@
  * Holds what a gateway exchanges with the leader: the list of backend servers, the estimate of true
  * time, and the request counts of recent usage windows.
  *
- * <p>Invariants: the counts are running totals and never decrease; the list is only replaced as a
- * whole. Thread-safe.
+ * <p>Invariants: the counts are running totals and never decrease; the list is one that the leader
+ * numbered, or one that this process read itself and that has no number. Thread-safe.
  */
 public final class GatewaySyncState {
   private static final int MAX_RETAINED_WINDOWS = 8;
@@ -145,14 +147,17 @@
         currentRefusing);
   }
 
-  void applyReply(GatewayPollReply reply) {
-    boolean changed = reply.servers().isPresent();
+  /**
+   * Applies a leader's reply.
+   *
+   * @param poll what the reply answers
+   */
+  void applyReply(GatewayPoll poll, GatewayPollReply reply) {
+    boolean changed;
     synchronized (this) {
       leaderHeardAtNanos = clocks.nanos();
       updateOffset(reply.millis() - leaderHeardAtNanos / NANOS_PER_MILLI);
-      serversNumber = reply.serversNumber();
-      List<GatewayServer> previous = servers;
-      servers = reply.servers().map(update -> update.applyTo(previous)).orElse(previous);
+      changed = updateServers(poll, reply);
     }
     reply
         .inFlight()
@@ -168,6 +173,22 @@
     }
   }
 
+  /**
+   * Updates the list; returns whether a newer one was applied. A difference is from the list that
+   * the poll named, so it says nothing about one that has replaced it since.
+   */
+  private boolean updateServers(GatewayPoll poll, GatewayPollReply reply) {
+    Optional<ServerListUpdate> update = reply.servers();
+    boolean isWhole = update.filter(ServerListUpdate::whole).isPresent();
+    if (!isWhole && poll.serversNumber() != serversNumber) {
+      return false;
+    }
+    serversNumber = reply.serversNumber();
+    List<GatewayServer> previous = servers;
+    servers = update.map(changes -> changes.applyTo(previous)).orElse(previous);
+    return update.isPresent();
+  }
+
   private void updateOffset(long offset) {
     boolean isDelayedMessage =
         hasOffset && offset < offsetMillis && offset > offsetMillis - MAX_MESSAGE_DELAY_MILLIS;
--- a/control/src/main/java/org/endivemux/control/client/ViewFollower.java
+++ b/control/src/main/java/org/endivemux/control/client/ViewFollower.java
@@ -126,17 +126,18 @@
             () -> {
               long sentAtNanos = clocks.nanos();
               int factor = timeoutFactor;
+              ControlRequest.Poll poll = request(before, batch, sentAtNanos);
               return client
                   .ask(
-                      request(before, batch, sentAtNanos),
+                      poll,
                       POLL_TIMEOUT.multipliedBy(factor),
                       ControlClient.ATTEMPT_TIMEOUT.multipliedBy(factor))
-                  .doOnNext(reply -> applyReply((ControlReply.PollReply) reply, sentAtNanos));
+                  .doOnNext(reply -> applyReply(poll, (ControlReply.PollReply) reply, sentAtNanos));
             })
         .doOnNext(reply -> usage.acknowledge(batch, ((ControlReply.PollReply) reply).term()));
   }
 
-  private ControlRequest request(State before, UsageLedger.Batch batch, long nowNanos) {
+  private ControlRequest.Poll request(State before, UsageLedger.Batch batch, long nowNanos) {
     return new ControlRequest.Poll(
         self.get(),
         before.view().revision(),
@@ -146,10 +147,11 @@
         Duration.ofNanos(nowNanos - answeredAtNanos).toMillis());
   }
 
-  private void applyReply(ControlReply.PollReply reply, long sentAtNanos) {
+  private void applyReply(
+      ControlRequest.Poll poll, ControlReply.PollReply reply, long sentAtNanos) {
     timeoutFactor = 1;
     answeredAtNanos = sentAtNanos;
-    gateway.applyReply(reply.gateway());
+    gateway.applyReply(poll.gateway(), reply.gateway());
     client.setVoters(reply.gateway().voters());
     State before = state;
     EntryView view = before.view().apply(reply.update());
