Entries without a configuration do not read the platform's list

After all VMs had lost power, every entry read the list itself as long as there was no leader. An entry without a configuration does not know the other entries and took itself for the only one: each read every 1.5 s, 65 entries with three pages make up to 130 calls a second of the 40 that the platform takes from all VMs. The new leader, too, gets status 429 then, so that no entry learns the servers or which of them leave. The entries could not use what they read: they refuse every request until they have a configuration, which only a leader has.

Change: an entry reads the list itself only if it has a configuration.

DirectListingTest.entryWithoutConfigurationReadsNothing: red before.

--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -164,7 +164,9 @@
     PlatformApi platform =
         new PlatformApi(
             new VmId(settings.vm()), settings.platformAddress().orElseThrow(), () -> false, loop);
-    this.listing = new DirectListing(syncState, platform::servers, this::entryCount, clocks::nanos);
+    this.listing =
+        new DirectListing(
+            syncState, platform::servers, gateway::isConfigured, this::entryCount, clocks::nanos);
     this.digests = new DigestExchange(settings.peerId(), this::digestPeers, pool, digestLink);
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -16,8 +17,9 @@
 /**
  * Reads the list of backend servers directly from the platform while no leader distributes it.
  *
- * <p>Invariant: the more entries there are, the less often each of them reads, so that together
- * they stay far below the platform's rate limit. Thread-safe.
+ * <p>Invariants: the more entries there are, the less often each of them reads, so that together
+ * they stay far below the platform's rate limit; an entry that has no configuration yet reads
+ * nothing, since it neither sends requests nor knows how many entries there are. Thread-safe.
  */
 public final class DirectListing implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -31,18 +33,25 @@
 
   private final GatewaySyncState syncState;
   private final Supplier<Mono<ServerListing>> reader;
+  private final BooleanSupplier isConfigured;
   private final IntSupplier entries;
   private final LongSupplier nanos;
   private volatile long readAt;
   private volatile Disposable schedule = () -> {};
 
+  /**
+   * @param isConfigured returns whether the entry has a configuration
+   * @param entries returns the number of entries
+   */
   public DirectListing(
       GatewaySyncState syncState,
       Supplier<Mono<ServerListing>> reader,
+      BooleanSupplier isConfigured,
       IntSupplier entries,
       LongSupplier nanos) {
     this.syncState = syncState;
     this.reader = reader;
+    this.isConfigured = isConfigured;
     this.entries = entries;
     this.nanos = nanos;
     this.readAt = nanos.getAsLong();
@@ -58,7 +67,8 @@
     long now = nanos.getAsLong();
     long interval =
         Math.max(MIN_READ_INTERVAL_NANOS, entries.getAsInt() * READ_INTERVAL_PER_ENTRY_NANOS);
-    if (syncState.nanosSinceLeaderHeard() < LEADER_SILENCE_NANOS || now - readAt < interval) {
+    boolean isLeaderHeard = syncState.nanosSinceLeaderHeard() < LEADER_SILENCE_NANOS;
+    if (!isConfigured.getAsBoolean() || isLeaderHeard || now - readAt < interval) {
       return;
     }
     readAt = now;
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
@@ -25,6 +26,8 @@
       new GatewaySyncState(
           new Clocks(nanos::get, () -> 0), 5000, List::of, List::of, List::of, CrashNews::none);
 
+  private final AtomicBoolean isConfigured = new AtomicBoolean(true);
+
   private DirectListing listing(int entries) {
     return new DirectListing(
         syncState,
@@ -32,6 +35,7 @@
           reads.incrementAndGet();
           return Mono.just(new ServerListing(List.of(), Set.of()));
         },
+        isConfigured::get,
         () -> entries,
         nanos::get);
   }
@@ -63,4 +67,15 @@
     run(listing(entries), Duration.ofSeconds(60));
     assertThat((double) reads.get() * entries / 60).isLessThan(PLATFORM_LIMIT_PER_SECOND / 2.0);
   }
+
+  /**
+   * Guards against calls of all entries that restart at once, beyond the platform's rate limit, so
+   * that the new leader can not read the list.
+   */
+  @Example
+  void entryWithoutConfigurationReadsNothing() {
+    isConfigured.set(false);
+    run(listing(1), Duration.ofSeconds(10));
+    assertThat(reads).hasValue(0);
+  }
 }
