A server that is known to leave stays so in a list that an entry reads itself

A leaving server may be listed as ready for some time; the leader knows from the response that another entry got, and tells all entries. An entry that heard no leader for 2.5 s replaced that knowledge by the platform's list and sent requests to the server again.

Change: of the servers read, those known to leave stay leaving until the leader answers again.

DirectListingTest.serverKnownToLeaveStaysLeaving: red before.

--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -3,11 +3,14 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListing;
 import reactor.core.Disposable;
@@ -19,7 +22,8 @@
  *
  * <p>Invariants: the more entries there are, the less often each of them reads, so that together
  * they stay far below the platform's rate limit; an entry that has no configuration yet reads
- * nothing, since it neither sends requests nor knows how many entries there are. Thread-safe.
+ * nothing, since it neither sends requests nor knows how many entries there are; a server that is
+ * known to leave stays so. Thread-safe.
  */
 public final class DirectListing implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -82,13 +86,30 @@
 
   private void apply(ServerListing listing) {
     if (syncState.nanosSinceLeaderHeard() >= LEADER_SILENCE_NANOS) {
+      List<GatewayServer> known = syncState.servers();
       List<GatewayServer> servers =
-          listing.completedFrom(syncState.servers(), syncState.trueMillis());
+          withLeaving(listing.completedFrom(known, syncState.trueMillis()), known);
       logger.atInfo().log("event=list_read_directly count=%d", servers.size());
       syncState.replaceServers(servers);
     }
   }
 
+  /**
+   * Returns the servers that were read, of which those known to leave do so: the leader may have
+   * heard it from another entry, long before the platform lists it.
+   */
+  private static List<GatewayServer> withLeaving(
+      List<GatewayServer> read, List<GatewayServer> known) {
+    Set<BackendServerId> leaving =
+        known.stream()
+            .filter(GatewayServer::leaving)
+            .map(GatewayServer::id)
+            .collect(Collectors.toSet());
+    return read.stream()
+        .map(server -> leaving.contains(server.id()) ? server.asLeaving() : server)
+        .toList();
+  }
+
   @Override
   public void close() {
     schedule.dispose();
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -13,7 +13,9 @@
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.model.crash.CrashNews;
+import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListing;
+import org.endivemux.model.gateway.ServiceName;
 import reactor.core.publisher.Mono;
 
 /** Checks when an entry reads the platform's list itself. */
@@ -27,13 +29,14 @@
           new Clocks(nanos::get, () -> 0), 5000, List::of, List::of, List::of, CrashNews::none);
 
   private final AtomicBoolean isConfigured = new AtomicBoolean(true);
+  private List<GatewayServer> listed = List.of();
 
   private DirectListing listing(int entries) {
     return new DirectListing(
         syncState,
         () -> {
           reads.incrementAndGet();
-          return Mono.just(new ServerListing(List.of(), Set.of()));
+          return Mono.just(new ServerListing(listed, Set.of()));
         },
         isConfigured::get,
         () -> entries,
@@ -78,4 +81,15 @@
     run(listing(1), Duration.ofSeconds(10));
     assertThat(reads).hasValue(0);
   }
+
+  /** Guards against requests to a server that leaves and that the platform still lists as ready. */
+  @Example
+  void serverKnownToLeaveStaysLeaving() {
+    GatewayServer server = Fixtures.server("s1", new ServiceName("llm"));
+    syncState.replaceServers(List.of(server.asLeaving()));
+    listed = List.of(server, Fixtures.server("s2", new ServiceName("llm")));
+    run(listing(6), Duration.ofSeconds(3));
+    assertThat(syncState.servers())
+        .containsExactly(server.asLeaving(), Fixtures.server("s2", new ServiceName("llm")));
+  }
 }
