Continue a stream only at servers of the version that began it

Cause: the version in the platform's list was dropped, so nothing knew it.

Change: GatewayServer has the version (optional for readers of earlier builds). The first event of a stream fixes the version for all further attempts of the answer; parts of a prompt are copied only between servers of one version. If no open server has the version, the answer ends as broken at once, and a job that waits for its version does not hold up the queue behind it. A listed server without a valid version keeps the one that is known; a stream of a server whose version was never stated goes on nowhere else.

Callers who take up a stream at another entry are not covered by this commit.

--- a/gateway/src/main/java/org/endivemux/gateway/Progress.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Progress.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.endivemux.model.BackendServerId;
+import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.routing.RetryPolicy.Delivered;
 import org.endivemux.wire.SendMarker;
 
@@ -24,13 +25,28 @@
   private boolean counted;
   private OptionalLong lastEvent;
   private Optional<RetainedResponse> retained = Optional.empty();
+  private Optional<StreamOrigin> origin;
 
   /** Holds a backend server's error response, for the case that no other attempt succeeds. */
   @SuppressWarnings("ArrayRecordComponent") // Bodies are passed on, not compared.
   record RetainedResponse(ResponsePart.Head head, byte[] body) {}
 
-  Progress(OptionalLong lastEvent) {
+  /**
+   * @param origin which servers may run the request, if it continues a stream
+   */
+  Progress(OptionalLong lastEvent, Optional<StreamOrigin> origin) {
     this.lastEvent = lastEvent;
+    this.origin = origin;
+  }
+
+  /** Records that a server has sent the first event of an attempt. */
+  void streamRunsAt(GatewayServer server) {
+    origin = origin.or(() -> Optional.of(StreamOrigin.of(server)));
+  }
+
+  /** Returns which servers may continue the request's stream; empty before its first event. */
+  Optional<StreamOrigin> origin() {
+    return origin;
   }
 
   /** Records the start of an attempt; {@code marker} tells whether it may have been sent. */
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -18,6 +18,7 @@
 import org.endivemux.model.gateway.HostRoute;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.routing.RetryPolicy;
 import org.endivemux.routing.RetryPolicy.FailedAttempt;
 import org.endivemux.routing.fleet.AttemptResult;
@@ -97,7 +98,7 @@
 
   /** Runs a request to completion; fails with {@link GatewayRefusal}. */
   Flux<ResponsePart> run(AdmittedRequest request, byte[] body) {
-    Progress progress = new Progress(request.head().resumeAfter());
+    Progress progress = new Progress(request.head().resumeAfter(), Optional.empty());
     retries.requested(request.service());
     hedges.requested();
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
@@ -114,6 +115,9 @@
           if (isTooLate(request, progress)) {
             return Flux.error(tooLate(request));
           }
+          if (progress.origin().filter(origin -> origin.version().isEmpty()).isPresent()) {
+            return Flux.error(GatewayRefusal.of(Reason.STREAM_VERSION_GONE));
+          }
           FleetJob job = job(request, progress);
           SendCheck check = stall.newSendCheck();
           Supplier<SendMarker> markers = () -> new SendMarker(check::isSteady);
@@ -165,7 +169,8 @@
         request.longPrompts(),
         route.gapMillis(),
         request.organisation(),
-        progress.usedServers());
+        progress.usedServers(),
+        progress.origin().flatMap(StreamOrigin::version));
   }
 
   private Flux<ResponsePart> send(
@@ -200,11 +205,12 @@
             maxConnections(request.service()),
             marker);
     logger.atInfo().log(
-        "event=sent request=%s route=%s try=%d backend=%s waitedMillis=%d version=%d",
+        "event=sent request=%s route=%s try=%d backend=%s software=%s waitedMillis=%d version=%d",
         request.head().id(),
         request.route().name(),
         progress.attempts(),
         binding.server().id(),
+        binding.server().version().map(SoftwareVersion::value).orElse("unknown"),
         (sentAt - request.arrivedAt()) / NANOS_PER_MILLI,
         table.get().config().version());
     return backends
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -63,7 +63,6 @@
   Flux<ResponsePart> read(
       AdmittedRequest request, Progress progress, Binding binding, long sentAt, Response response) {
     heed(binding.server(), sentAt, response);
-    RequestId id = binding.job().id();
     if (response.notRun()) {
       return BoundedBytes.discard(response.body(), MAX_REJECTION_BYTES, MAX_REJECTION_TIME)
           .thenMany(Flux.error(new AttemptFailure.NotRun(response.addressReassigned())));
@@ -73,20 +72,21 @@
     }
     return Flux.using(
         () -> memory.holding(request.service()),
-        holding -> readBody(request, progress, id, sentAt, response, holding),
+        holding -> readBody(request, progress, binding, sentAt, response, holding),
         ResponseMemory.Holding::release);
   }
 
   private Flux<ResponsePart> readBody(
       AdmittedRequest request,
       Progress progress,
-      RequestId id,
+      Binding binding,
       long sentAt,
       Response response,
       ResponseMemory.Holding holding) {
+    RequestId id = binding.job().id();
     if (request.route().kind() == RequestKind.STREAM && response.status() == OK) {
       StreamReader stream =
-          new StreamReader(progress, holding, () -> firstEvent(request, progress, id));
+          new StreamReader(progress, holding, () -> firstEvent(request, progress, binding));
       return stream
           .read(response.status(), response.headers(), response.body())
           .doOnComplete(() -> pool.feedback().streamed(id, stream.eventCount()));
@@ -131,8 +131,9 @@
     return Flux.just(head, new ResponsePart.Body(bytes));
   }
 
-  private void firstEvent(AdmittedRequest request, Progress progress, RequestId id) {
-    pool.feedback().answered(id);
+  private void firstEvent(AdmittedRequest request, Progress progress, Binding binding) {
+    pool.feedback().answered(binding.job().id());
+    progress.streamRunsAt(binding.server());
     countOnce(request, progress, nanos.getAsLong());
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -218,12 +218,14 @@
     List<Binding> bound;
     List<WarmUpLimit.Decision> decisions;
     List<FleetJob> unserved;
+    List<FleetJob> withoutVersion;
     boolean awaitsTime;
     int heldBack;
     synchronized (lock) {
       long now = nanos.getAsLong();
       bound = scheduler.bind(now);
       unserved = scheduler.removeEvacuated();
+      withoutVersion = scheduler.removeWithoutVersion();
       decisions = scheduler.takeWarmUpDecisions();
       awaitsTime = scheduler.awaitsTime(now);
       heldBack = scheduler.heldBackCount();
@@ -236,16 +238,17 @@
       var unused = Mono.delay(RESUMPTION_STEP, timers).subscribe(step -> bindAfterStep());
     }
     bound.forEach(this::deliver);
-    unserved.forEach(this::refuseEvacuated);
+    unserved.forEach(job -> refuse(job, Reason.NO_CAPACITY));
+    withoutVersion.forEach(job -> refuse(job, Reason.STREAM_VERSION_GONE));
   }
 
-  private void refuseEvacuated(FleetJob job) {
+  private void refuse(FleetJob job, Reason reason) {
     Sinks.One<Binding> sink;
     synchronized (lock) {
       sink = waiting.remove(job.id());
     }
     if (sink != null) {
-      sink.tryEmitError(new GatewayRefusal(Reason.NO_CAPACITY, retryAfterMillis(job.id())));
+      sink.tryEmitError(new GatewayRefusal(reason, retryAfterMillis(job.id())));
     }
   }
 
--- a/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
+++ b/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
@@ -15,6 +15,7 @@
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.Share;
+import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.routing.fleet.ServerNotices;
@@ -27,6 +28,8 @@
 
   private Fixtures() {}
 
+  static final SoftwareVersion VERSION = new SoftwareVersion("v1");
+
   /** Returns a route of host {@code h} for paths below {@code /p/}. */
   static HostRoute route(ServiceName service, RequestKind kind, boolean open) {
     return new HostRoute(
@@ -60,7 +63,8 @@
 
   static GatewayServer server(String id, ServiceName service) {
     return new GatewayServer(
-        new BackendServerId(id), service, "10.0.0.1", DOMAIN, 4, false, ServerKind.STEADY);
+            new BackendServerId(id), service, "10.0.0.1", DOMAIN, 4, false, ServerKind.STEADY)
+        .withVersion(Optional.of(VERSION));
   }
 
   static ServerPool pool(LongSupplier nanos) {
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -23,7 +23,7 @@
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Schedulers;
 
-/** Runs requests through a relay to three scripted backend servers. Stateless. */
+/** Runs requests through a relay to scripted backend servers. Stateless. */
 final class RelayRuns {
   static final Duration LIMIT = Duration.ofSeconds(20);
 
@@ -49,7 +49,7 @@
         0);
   }
 
-  private static GatewayServer server(int number) {
+  static GatewayServer server(int number) {
     return Fixtures.server("s" + number, SERVICE);
   }
 
@@ -73,6 +73,15 @@
 
   static Flux<ResponsePart> run(
       ScriptedBackend backend, AdmittedRequest request, double retrySlack, PlannedStop stop) {
+    return run(backend, request, retrySlack, stop, List.of(server(1), server(2), server(3)));
+  }
+
+  static Flux<ResponsePart> run(
+      ScriptedBackend backend,
+      AdmittedRequest request,
+      double retrySlack,
+      PlannedStop stop,
+      List<GatewayServer> servers) {
     GatewayConfig config =
         new GatewayConfig(
             1,
@@ -82,7 +91,7 @@
             List.of());
     ServerPool pool = Fixtures.pool(System::nanoTime);
     pool.configure(config);
-    pool.updateServers(List.of(server(1), server(2), server(3)), 0);
+    pool.updateServers(servers, 0);
     Relay relay =
         new Relay(
             pool,
--- a/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
@@ -43,7 +43,7 @@
 
   private Flux<ResponsePart> read(ServiceName service, RequestKind kind, Flux<byte[]> body) {
     AdmittedRequest request = request(service, kind);
-    Progress progress = new Progress(OptionalLong.empty());
+    Progress progress = new Progress(OptionalLong.empty(), Optional.empty());
     Response response =
         new Response(200, new DefaultHttpHeaders(), false, false, false, Duration.ZERO, body);
     return reader.read(request, progress, binding(service), System.nanoTime(), response);
@@ -104,7 +104,7 @@
         reader(pool)
             .read(
                 request(SOUND, RequestKind.IDEMPOTENT),
-                new Progress(OptionalLong.empty()),
+                new Progress(OptionalLong.empty(), Optional.empty()),
                 binding,
                 System.nanoTime(),
                 response)
@@ -137,7 +137,7 @@
         reader(pool)
             .read(
                 request(SOUND, RequestKind.IDEMPOTENT),
-                new Progress(OptionalLong.empty()),
+                new Progress(OptionalLong.empty(), Optional.empty()),
                 binding(SOUND),
                 System.nanoTime(),
                 response)
--- a/model/src/main/java/org/endivemux/model/Reason.java
+++ b/model/src/main/java/org/endivemux/model/Reason.java
@@ -40,6 +40,10 @@
   BACKEND_FAILED(502, OUTCOME_UNKNOWN, 1, "The backend server failed before it had answered."),
   BACKEND_TIMEOUT(504, OUTCOME_UNKNOWN, 1, "The backend server went silent."),
   ANSWER_BROKEN(502, OUTCOME_UNKNOWN, 1, "The answer ended early and could not be resumed."),
+  STREAM_VERSION_GONE(
+      503, NOT_RUN, 1, "No backend server has the version that began this stream; begin anew."),
+  STREAM_VERSION_UNKNOWN(
+      503, NOT_RUN, 1, "It is not known which version began this stream; begin anew."),
   NO_IDEMPOTENCY_KEY(400, NOT_RUN, 0, "This service needs the header Idempotency-Key."),
   IDEMPOTENCY_KEY_MALFORMED(
       400, NOT_RUN, 0, "Make the Idempotency-Key a version 7 UUID, so that its age can be told."),
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
@@ -1,6 +1,7 @@
 package org.endivemux.model.gateway;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.Optional;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.ServerKind;
@@ -14,6 +15,8 @@
  *     0 if it has not been listed as cold, and from processes of an earlier version
  * @param refusedAtMillis true time in Unix milliseconds at which it was last reported to refuse
  *     connections; 0 if it was not, and from processes of an earlier version
+ * @param version version of its software; empty if the platform does not state it, and from
+ *     processes of an earlier version
  */
 public record GatewayServer(
     BackendServerId id,
@@ -24,9 +27,13 @@
     boolean leaving,
     ServerKind kind,
     long coldUntilMillis,
-    @JsonInclude(JsonInclude.Include.NON_DEFAULT) long refusedAtMillis) {
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) long refusedAtMillis,
+    @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<SoftwareVersion> version) {
+  public GatewayServer {
+    version = version == null ? Optional.empty() : version;
+  }
 
-  /** Creates a server that has not been listed as cold. */
+  /** Creates a server that has not been listed as cold and whose version is not known. */
   public GatewayServer(
       BackendServerId id,
       ServiceName service,
@@ -35,24 +42,66 @@
       int slots,
       boolean leaving,
       ServerKind kind) {
-    this(id, service, address, failureDomain, slots, leaving, kind, 0, 0);
+    this(id, service, address, failureDomain, slots, leaving, kind, 0, 0, Optional.empty());
   }
 
   /** Returns the same server, which accepts no new requests. */
   public GatewayServer asLeaving() {
     return new GatewayServer(
-        id, service, address, failureDomain, slots, true, kind, coldUntilMillis, refusedAtMillis);
+        id,
+        service,
+        address,
+        failureDomain,
+        slots,
+        true,
+        kind,
+        coldUntilMillis,
+        refusedAtMillis,
+        version);
   }
 
   /** Returns the same server, which is cold until a true time in Unix milliseconds. */
   public GatewayServer coldUntil(long millis) {
     return new GatewayServer(
-        id, service, address, failureDomain, slots, leaving, kind, millis, refusedAtMillis);
+        id,
+        service,
+        address,
+        failureDomain,
+        slots,
+        leaving,
+        kind,
+        millis,
+        refusedAtMillis,
+        version);
   }
 
   /** Returns the same server, which refused a connection at a true time in Unix milliseconds. */
   public GatewayServer refusedAt(long millis) {
     return new GatewayServer(
-        id, service, address, failureDomain, slots, leaving, kind, coldUntilMillis, millis);
+        id,
+        service,
+        address,
+        failureDomain,
+        slots,
+        leaving,
+        kind,
+        coldUntilMillis,
+        millis,
+        version);
+  }
+
+  /** Returns the same server with a version of its software. */
+  public GatewayServer withVersion(Optional<SoftwareVersion> newVersion) {
+    return new GatewayServer(
+        id,
+        service,
+        address,
+        failureDomain,
+        slots,
+        leaving,
+        kind,
+        coldUntilMillis,
+        refusedAtMillis,
+        newVersion);
   }
 }
--- a/model/src/main/java/org/endivemux/model/gateway/ServerListing.java
+++ b/model/src/main/java/org/endivemux/model/gateway/ServerListing.java
@@ -53,7 +53,8 @@
    *
    * <p>The end of a cold period keeps its known value over repeated readings. A reading that lists
    * a server as warm leaves that end as it is, because it may be older than the known one. The time
-   * of a refused connection is not in the listing and is kept.
+   * of a refused connection is not in the listing and is kept, and so is a known version that this
+   * reading does not state.
    *
    * @param nowMillis true time at which the listing was received, in Unix milliseconds
    */
@@ -71,7 +72,8 @@
 
   private GatewayServer completed(GatewayServer read, GatewayServer known, long nowMillis) {
     return read.coldUntil(coldEnd(read.id(), known.coldUntilMillis(), nowMillis))
-        .refusedAt(known.refusedAtMillis());
+        .refusedAt(known.refusedAtMillis())
+        .withVersion(read.version().or(known::version));
   }
 
   private long coldEnd(BackendServerId id, long known, long nowMillis) {
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
@@ -5,7 +5,9 @@
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.RequestId;
+import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.SoftwareVersion;
 
 /**
  * Holds the inputs for selecting the backend server of one attempt.
@@ -18,6 +20,8 @@
  * @param pauseMillis longest pause between events that counts as on time; 0 when not declared
  * @param organisation organisation whose key came with the request, if any
  * @param avoid backend servers that earlier attempts of the request have used
+ * @param version version of the software whose servers alone may run the job, since they began its
+ *     stream; empty if any server may
  */
 public record FleetJob(
     RequestId id,
@@ -29,7 +33,8 @@
     boolean longPrompts,
     long pauseMillis,
     Optional<OrganisationId> organisation,
-    Set<BackendServerId> avoid) {
+    Set<BackendServerId> avoid,
+    Optional<SoftwareVersion> version) {
   public FleetJob {
     avoid = Set.copyOf(avoid);
   }
@@ -54,6 +59,12 @@
         longPrompts,
         0,
         Optional.empty(),
-        avoid);
+        avoid,
+        Optional.empty());
+  }
+
+  /** Returns whether the version of a server's software allows it to run the job. */
+  boolean isVersionAllowed(GatewayServer server) {
+    return version.isEmpty() || version.equals(server.version());
   }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -26,10 +26,11 @@
  *
  * <p>Does no I/O and reads no clock: monotonic nanoseconds are passed in. Invariants: a server that
  * is leaving or paused, is in an evacuated domain or that the job avoids gets nothing, and one in
- * backoff gets nothing while another has capacity; a cold one gets what {@link WarmUpLimit} allows,
- * and one that has stated a limit what {@link StatedLimits} allows; waiting jobs are bound by
- * urgency, then, under overload protection, by fair shares of the organisations, and then by
- * arrival. Not thread-safe: one caller at a time.
+ * backoff gets nothing while another has capacity; a job that continues a stream goes only to
+ * servers of the version that began it; a cold one gets what {@link WarmUpLimit} allows, and one
+ * that has stated a limit what {@link StatedLimits} allows; waiting jobs are bound by urgency,
+ * then, under overload protection, by fair shares of the organisations, and then by arrival. Not
+ * thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private final ServerNotices notices;
@@ -160,6 +161,14 @@
     return waiting.removeAll(servers::isEvacuated);
   }
 
+  /**
+   * Removes and returns the waiting jobs that only servers of one version may run, of which none is
+   * left.
+   */
+  public List<FleetJob> removeWithoutVersion() {
+    return waiting.removeOfOneVersion(job -> !chooser.hasServer(job));
+  }
+
   /** Queues a job until {@link #bind} selects its server. */
   public void offer(FleetJob job) {
     waiting.add(job);
@@ -185,8 +194,9 @@
     while (jobs.hasNext() && hasCapacity) {
       FleetJob job = jobs.next();
       Optional<ServerLoad> chosen = chooser.choose(job, now);
-      hasCapacity = chosen.isPresent();
-      if (hasCapacity) {
+      // A job that only servers of one version may run says nothing about the others' capacity.
+      hasCapacity = chosen.isPresent() || job.version().isPresent();
+      if (chosen.isPresent()) {
         jobs.remove();
         bound.add(started(job, chosen.get(), now));
       }
--- a/routing/src/main/java/org/endivemux/routing/fleet/JobsWithoutCapacity.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/JobsWithoutCapacity.java
@@ -7,8 +7,8 @@
  * Remembers the smallest jobs that found no room in one pass over a queue, so that no time is spent
  * on jobs behind them that are at least as large and no more urgent.
  *
- * <p>Invariant: a job that avoids servers says nothing about others. Used for one pass, by the
- * scheduler's thread.
+ * <p>Invariant: a job that not every server may run says nothing about others. Used for one pass,
+ * by the scheduler's thread.
  */
 final class JobsWithoutCapacity {
   private final List<FleetJob> smallest = new ArrayList<>();
@@ -19,7 +19,7 @@
   }
 
   void add(FleetJob job) {
-    if (job.avoid().isEmpty() && !covers(job)) {
+    if (job.avoid().isEmpty() && job.version().isEmpty() && !covers(job)) {
       smallest.add(job);
     }
   }
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerChooser.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerChooser.java
@@ -11,10 +11,11 @@
 /**
  * Chooses the server of a job among those that have room for it.
  *
- * <p>Invariants: a server that the job avoids is never chosen, and one in backoff only if no other
- * has room. In a fleet of many entries, whose load is known as sums that are some hundred
- * milliseconds old, only the job's preferred servers and a few servers sampled by its id are
- * compared. Holds the learnt prefill rate of each service. Not thread-safe.
+ * <p>Invariants: a server that the job avoids, or whose version began another stream than the
+ * job's, is never chosen, and one in backoff only if no other has room. In a fleet of many entries,
+ * whose load is known as sums that are some hundred milliseconds old, only the job's preferred
+ * servers and a few servers sampled by its id are compared. Holds the learnt prefill rate of each
+ * service. Not thread-safe.
  */
 final class ServerChooser {
   private final ServerSelection selection;
@@ -55,7 +56,7 @@
     List<ServerLoad> open =
         servers
             .openServers(job.service())
-            .filter(load -> !job.avoid().contains(load.server().id()))
+            .filter(load -> isAllowed(job, load))
             .filter(load -> hasRoom(job, load, now))
             .toList();
     List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
@@ -63,6 +64,16 @@
     return choose(job, candidates, now);
   }
 
+  /** Returns whether a job may run at a server that is open, now or when it has room. */
+  private static boolean isAllowed(FleetJob job, ServerLoad load) {
+    return job.isVersionAllowed(load.server()) && !job.avoid().contains(load.server().id());
+  }
+
+  /** Returns whether a job may run at any open server, now or when one has room. */
+  boolean hasServer(FleetJob job) {
+    return servers.openServers(job.service()).anyMatch(load -> isAllowed(job, load));
+  }
+
   private Optional<ServerLoad> choose(FleetJob job, List<ServerLoad> withRoom, long now) {
     List<ServerLoad> listed =
         admissions.isOn(job.service()) ? servers.openServers(job.service()).toList() : withRoom;
@@ -81,9 +92,17 @@
         : load.total(now) < limits.capacity(load, now);
   }
 
-  /** Returns a server that probably has parts of the prompt cached which the chosen one lacks. */
+  /**
+   * Returns a server that probably has parts of the prompt cached which the chosen one lacks. It
+   * has the same version, since servers cannot use what another version wrote.
+   */
   Optional<GatewayServer> copyFrom(FleetJob job, ServerLoad chosen) {
-    return selection.copyFrom(job, chosen, servers.openServers(job.service()));
+    return selection.copyFrom(
+        job,
+        chosen,
+        servers
+            .openServers(job.service())
+            .filter(load -> load.server().version().equals(chosen.server().version())));
   }
 
   /** Returns the time until a server has prefilled what is pending there. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
@@ -25,6 +25,9 @@
   private final Map<ServiceName, OrganisationTurns> turns = new HashMap<>();
   private final Map<RequestId, Double> turnOf = new HashMap<>();
 
+  /** The waiting jobs that only servers of one version may run. */
+  private final Map<RequestId, FleetJob> ofOneVersion = new HashMap<>();
+
   /**
    * @param isShared whether organisations share a service fairly
    */
@@ -36,6 +39,9 @@
     if (isShared.test(job.service())) {
       turnOf.put(job.id(), turnsOf(job.service()).next(job));
     }
+    if (job.version().isPresent()) {
+      ofOneVersion.put(job.id(), job);
+    }
     queues.computeIfAbsent(job.service(), service -> new TreeSet<>(order())).add(job);
   }
 
@@ -52,6 +58,7 @@
 
   /** Records that a job, which was taken out of its queue, was started. */
   void started(FleetJob job) {
+    ofOneVersion.remove(job.id());
     Double turn = turnOf.remove(job.id());
     if (turn != null) {
       turnsOf(job.service()).served(turn);
@@ -62,6 +69,7 @@
   boolean remove(FleetJob job) {
     NavigableSet<FleetJob> queue = queues.get(job.service());
     boolean removed = queue != null && queue.remove(job);
+    ofOneVersion.remove(job.id());
     cancelTurn(job);
     return removed;
   }
@@ -76,10 +84,18 @@
             queue.clear();
           }
         });
+    removed.forEach(job -> ofOneVersion.remove(job.id()));
     removed.forEach(this::cancelTurn);
     return removed;
   }
 
+  /** Removes and returns the jobs that match, of those that only servers of one version may run. */
+  List<FleetJob> removeOfOneVersion(Predicate<FleetJob> matches) {
+    List<FleetJob> removed = ofOneVersion.values().stream().filter(matches).toList();
+    removed.forEach(this::remove);
+    return removed;
+  }
+
   private void cancelTurn(FleetJob job) {
     if (turnOf.remove(job.id()) != null) {
       turnsOf(job.service()).cancelled(job);
--- a/routing/src/test/java/org/endivemux/routing/fleet/FairSharesTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/FairSharesTest.java
@@ -91,7 +91,8 @@
         false,
         0,
         Optional.of(new OrganisationId("o" + organisation)),
-        avoid);
+        avoid,
+        Optional.empty());
   }
 
   /** One entry and four engines in virtual time. Confined to one thread. */
--- /dev/null
+++ b/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
@@ -0,0 +1,82 @@
+package org.endivemux.routing.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import org.endivemux.model.BackendServerId;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.RequestId;
+import org.endivemux.model.ServerKind;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.SoftwareVersion;
+
+/** Checks which servers get a job that only servers of one version may run. */
+final class JobOfOneVersionTest {
+  private static final FailureDomain DOMAIN = new FailureDomain("d");
+  private static final SoftwareVersion OLD = new SoftwareVersion("v1");
+  private static final SoftwareVersion NEW = new SoftwareVersion("v2");
+  private static final int SLOTS = 2;
+
+  private final FleetScheduler scheduler =
+      new FleetScheduler(DOMAIN, new ServerNotices(Duration.ofMinutes(1)));
+
+  private static GatewayServer server(String id, SoftwareVersion version) {
+    return new GatewayServer(
+            new BackendServerId(id), Fleet.LLM, id + ":1", DOMAIN, SLOTS, false, ServerKind.STEADY)
+        .withVersion(Optional.of(version));
+  }
+
+  private static FleetJob job(String id, Optional<SoftwareVersion> version) {
+    return new FleetJob(
+        new RequestId(id),
+        Fleet.LLM,
+        1,
+        0,
+        Long.MAX_VALUE,
+        PromptShape.none(),
+        false,
+        0,
+        Optional.empty(),
+        Set.of(),
+        version);
+  }
+
+  private List<String> bind() {
+    return scheduler.bind(0).stream()
+        .map(binding -> binding.job().id().value() + " at " + binding.server().id())
+        .toList();
+  }
+
+  /** Guards against a continued stream that holds up all requests behind it. */
+  @Example
+  void jobThatWaitsForItsVersionDoesNotBlockOthers() {
+    scheduler.updateServers(List.of(server("old", OLD), server("new", NEW)));
+    IntStream.rangeClosed(1, SLOTS + 1)
+        .forEach(i -> scheduler.offer(job("a" + i, Optional.of(OLD))));
+    scheduler.offer(job("b", Optional.empty()));
+
+    assertThat(bind()).containsExactly("a1 at old", "a2 at old", "b at new");
+    assertThat(scheduler.removeWithoutVersion()).isEmpty();
+  }
+
+  /** Guards against a caller that waits for a version which no server has any more. */
+  @Example
+  void waitingJobEndsWhenTheLastServerOfItsVersionLeaves() {
+    scheduler.updateServers(List.of(server("old", OLD), server("new", NEW)));
+    IntStream.rangeClosed(1, SLOTS + 1)
+        .forEach(i -> scheduler.offer(job("a" + i, Optional.of(OLD))));
+    assertThat(bind()).hasSize(SLOTS);
+
+    scheduler.updateServers(List.of(server("old", OLD).asLeaving(), server("new", NEW)));
+
+    assertThat(scheduler.removeWithoutVersion())
+        .extracting(FleetJob::id)
+        .containsExactly(new RequestId("a" + (SLOTS + 1)));
+    assertThat(bind()).isEmpty();
+  }
+}
--- a/routing/src/test/java/org/endivemux/routing/fleet/UnevenFleetSimulation.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/UnevenFleetSimulation.java
@@ -208,7 +208,8 @@
                 route.longPrompts,
                 route.pauseMillis,
                 Optional.empty(),
-                Set.of()));
+                Set.of(),
+                Optional.empty()));
   }
 
   private void bind(FleetScheduler entry) {
