Check again at the send that a bound server is still open

A request could be sent to a server that had been listed as leaving, had said that it leaves, was gone or evacuated by then (DRAIN): after a slow turn of the event loop a bound request waits for pending reads, and nothing looked at the server again when they were done, as it is for callers who left.

Change: right before the attempt starts, an entry checks that the server is listed with the same address and version and neither leaves nor is evacuated; otherwise the slot is freed and another server is chosen (event=bound_again). The version, the key's organisation and the route stay those of the arrival.

--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -126,18 +126,29 @@
               .delayUntil(binding -> check.pendingReads().doOnCancel(() -> cancel(job.id())))
               .flatMapMany(
                   binding ->
-                      hedges.run(
-                          request,
-                          progress,
-                          binding,
-                          () -> job(request, progress),
-                          (server, sent) -> send(request, body, progress, server, sent),
-                          marker,
-                          markers))
+                      pool.isOpen(binding)
+                          ? hedges.run(
+                              request,
+                              progress,
+                              binding,
+                              () -> job(request, progress),
+                              (server, sent) -> send(request, body, progress, server, sent),
+                              marker,
+                              markers)
+                          : bindAgain(request, body, progress, binding))
               .onErrorResume(error -> retryOrFail(request, body, progress, marker.get(), error));
         });
   }
 
+  /** Chooses another server for an attempt whose server closed before anything was sent to it. */
+  private Flux<ResponsePart> bindAgain(
+      AdmittedRequest request, byte[] body, Progress progress, Binding closed) {
+    cancel(closed.job().id());
+    logger.atInfo().log(
+        "event=bound_again request=%s backend=%s", request.head().id(), closed.server().id());
+    return attempt(request, body, progress);
+  }
+
   private void cancel(RequestId id) {
     pool.release(id, AttemptResult.CANCELLED);
   }
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -155,6 +155,16 @@
     }
   }
 
+  /**
+   * Returns whether the server of a binding may still get the job: since it was bound, the server
+   * may have left or its domain been evacuated.
+   */
+  boolean isOpen(Binding binding) {
+    synchronized (lock) {
+      return scheduler.isOpen(binding.server());
+    }
+  }
+
   /** Returns when servers take requests again, if a job that still waits would be too late then. */
   private OptionalLong pauseEndAfter(FleetJob job) {
     synchronized (lock) {
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -82,16 +82,35 @@
       double retrySlack,
       PlannedStop stop,
       List<GatewayServer> servers) {
-    GatewayConfig config =
-        new GatewayConfig(
-            1,
-            List.of(request.route()),
-            List.of(new ServiceSpec(SERVICE, 8, Optional.empty(), Optional.empty())),
-            ClientLimits.defaults(),
-            List.of());
     ServerPool pool = Fixtures.pool(System::nanoTime);
-    pool.configure(config);
+    pool.configure(config(request));
     pool.updateServers(servers, 0);
+    return run(
+        backend,
+        request,
+        retrySlack,
+        stop,
+        pool,
+        new EventLoopStall(System::nanoTime, Schedulers.parallel()));
+  }
+
+  private static GatewayConfig config(AdmittedRequest request) {
+    return new GatewayConfig(
+        1,
+        List.of(request.route()),
+        List.of(new ServiceSpec(SERVICE, 8, Optional.empty(), Optional.empty())),
+        ClientLimits.defaults(),
+        List.of());
+  }
+
+  static Flux<ResponsePart> run(
+      ScriptedBackend backend,
+      AdmittedRequest request,
+      double retrySlack,
+      PlannedStop stop,
+      ServerPool pool,
+      EventLoopStall stall) {
+    RouteTable table = new RouteTable(config(request));
     Relay relay =
         new Relay(
             pool,
@@ -100,13 +119,13 @@
                 Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
             new CrashWatch(backend, System::nanoTime, Schedulers.parallel()),
             new GatewayCounters(new MetricRegistry()),
-            () -> new RouteTable(config),
+            () -> table,
             () -> 1,
             new ServiceRetryAllowances(
                 new ServiceRetryAllowances.Limits(0.2, 10, retrySlack), () -> 1, System::nanoTime),
             Optional.empty(),
             stop,
-            new EventLoopStall(System::nanoTime, Schedulers.parallel()),
+            stall,
             System::nanoTime,
             Schedulers.parallel());
     return relay.run(request, new byte[0]);
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -169,6 +169,11 @@
     return waiting.removeOfOneVersion(job -> !chooser.hasServer(job));
   }
 
+  /** Returns whether a server may still get a job that was bound to it. */
+  public boolean isOpen(GatewayServer server) {
+    return servers.isOpen(server);
+  }
+
   /** Queues a job until {@link #bind} selects its server. */
   public void offer(FleetJob job) {
     waiting.add(job);
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetServers.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetServers.java
@@ -94,6 +94,15 @@
         .filter(load -> load.server().service().equals(service) && !isLeaving(load.server()));
   }
 
+  /** Returns whether a server is listed as known, and neither leaving nor evacuated. */
+  boolean isOpen(GatewayServer server) {
+    ServerLoad load = servers.get(server.id());
+    return load != null
+        && !isLeaving(load.server())
+        && load.server().address().equals(server.address())
+        && load.server().version().equals(server.version());
+  }
+
   private boolean isLeaving(GatewayServer server) {
     return server.leaving()
         || evacuated.contains(server.failureDomain())
--- a/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
@@ -79,4 +79,17 @@
         .containsExactly(new RequestId("a" + (SLOTS + 1)));
     assertThat(bind()).isEmpty();
   }
+
+  /** Guards against a request that was bound before its server left and is sent after that. */
+  @Example
+  void serverThatLeftAfterTheBindingIsNoLongerOpen() {
+    scheduler.updateServers(List.of(server("s", OLD)));
+    assertThat(scheduler.isOpen(server("s", OLD))).isTrue();
+
+    assertThat(scheduler.isOpen(server("s", NEW))).isFalse();
+    scheduler.updateServers(List.of(server("s", OLD).asLeaving()));
+    assertThat(scheduler.isOpen(server("s", OLD))).isFalse();
+    scheduler.updateServers(List.of());
+    assertThat(scheduler.isOpen(server("s", OLD))).isFalse();
+  }
 }
