Take a stream up only at the version that began it

An entry that did not begin a stream knew nothing of it and sent the take-up wherever there was room; with all entries killed, no one knew.

Change: each entry reports with its polls which version began its streams; the leader commits the reports of 200 ms in one log entry. The log also holds which versions each service has listed and until when; a list with a new version is published only after that is committed, and an entry that reads the list itself leaves such servers out. A take-up names the first attempt (Resumes); the entry looks into its own record, then asks the leader. Without a record the version is concluded only if no other one was listed for longer than a stream lasts.

The notes travel beside a command without effect, since voters of earlier builds end at a command that they do not know; they pass over the notes, and a gap of 15 s in the notes makes the history unknown.

--- a/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
+++ b/control/src/main/java/org/endivemux/control/client/GatewaySyncState.java
@@ -49,6 +49,7 @@
   private final Supplier<List<BackendServerId>> refusing;
   private final Supplier<CrashNews> crashes;
   private final Supplier<List<SpeedAt>> speeds;
+  private final StreamLedger streams;
   private final TreeMap<Long, Map<OrganisationId, Long>> windows = new TreeMap<>();
   private final List<Runnable> serverListeners = new CopyOnWriteArrayList<>();
   private final List<Consumer<List<InFlightAt>>> loadListeners = new CopyOnWriteArrayList<>();
@@ -67,6 +68,7 @@
    * @param crashes returns what this process knows of crashes of backend servers
    * @param speeds returns the next samples of server speeds to share
    * @param refusing returns the backend servers with a warm-up that refused connections lately
+   * @param streams the streams that this process has begun
    */
   public GatewaySyncState(
       Clocks clocks,
@@ -76,7 +78,8 @@
       Supplier<List<BackendServerId>> leaving,
       Supplier<CrashNews> crashes,
       Supplier<List<SpeedAt>> speeds,
-      Supplier<List<BackendServerId>> refusing) {
+      Supplier<List<BackendServerId>> refusing,
+      StreamLedger streams) {
     this.clocks = clocks;
     this.wallClock = new SteadyWallClock(clocks);
     this.windowMillis = windowMillis;
@@ -86,10 +89,14 @@
     this.crashes = crashes;
     this.speeds = speeds;
     this.refusing = refusing;
+    this.streams = streams;
     this.leaderHeardAtNanos = clocks.nanos();
   }
 
-  /** Creates the state of a process that measures no server speeds and knows no warm-ups. */
+  /**
+   * Creates the state of a process that measures no server speeds and knows no warm-ups, with a
+   * ledger of its own.
+   */
   public GatewaySyncState(
       Clocks clocks,
       long windowMillis,
@@ -97,7 +104,16 @@
       Supplier<List<InFlightAt>> inFlight,
       Supplier<List<BackendServerId>> leaving,
       Supplier<CrashNews> crashes) {
-    this(clocks, windowMillis, loads, inFlight, leaving, crashes, List::of, List::of);
+    this(
+        clocks,
+        windowMillis,
+        loads,
+        inFlight,
+        leaving,
+        crashes,
+        List::of,
+        List::of,
+        new StreamLedger(clocks::nanos));
   }
 
   /** Returns the best estimate of true time in Unix milliseconds. */
@@ -144,7 +160,8 @@
         currentLeaving,
         currentCrashes,
         currentSpeeds,
-        currentRefusing);
+        currentRefusing,
+        streams.unreported());
   }
 
   /**
@@ -159,6 +176,7 @@
       updateOffset(reply.millis() - leaderHeardAtNanos / NANOS_PER_MILLI);
       changed = updateServers(poll, reply);
     }
+    streams.reported(poll.streams());
     reply
         .inFlight()
         .ifPresent(others -> loadListeners.forEach(listener -> listener.accept(others)));
--- a/control/src/main/java/org/endivemux/control/message/ControlReply.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlReply.java
@@ -18,6 +18,8 @@
 import org.endivemux.model.VmId;
 import org.endivemux.model.crash.PartVerdicts;
 import org.endivemux.model.gateway.ServerListUpdate;
+import org.endivemux.model.gateway.SoftwareVersion;
+import org.endivemux.model.gateway.StreamOriginSource;
 import org.endivemux.wire.Packed;
 
 /** Reply of a voter to a {@link ControlRequest}. All kinds are immutable and thread-safe. */
@@ -29,7 +31,8 @@
   @JsonSubTypes.Type(value = ControlReply.InForce.class, name = "inforce"),
   @JsonSubTypes.Type(value = ControlReply.ClaimFound.class, name = "claim"),
   @JsonSubTypes.Type(value = ControlReply.Report.class, name = "report"),
-  @JsonSubTypes.Type(value = ControlReply.GatewayConfigFound.class, name = "config")
+  @JsonSubTypes.Type(value = ControlReply.GatewayConfigFound.class, name = "config"),
+  @JsonSubTypes.Type(value = ControlReply.StreamVersionFound.class, name = "stream")
 })
 public sealed interface ControlReply {
   /**
@@ -118,6 +121,10 @@
 
   record ClaimFound(Optional<Claim> claim) implements ControlReply {}
 
+  /** Which software version began a stream, if it is known, and from what. */
+  record StreamVersionFound(Optional<SoftwareVersion> version, StreamOriginSource source)
+      implements ControlReply {}
+
   /** State of the leader, for operators. */
   record Report(
       VmId leader,
--- a/control/src/main/java/org/endivemux/control/message/ControlRequest.java
+++ b/control/src/main/java/org/endivemux/control/message/ControlRequest.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
+import java.util.Optional;
 import org.endivemux.control.state.Command;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.EntryInfo;
@@ -14,6 +15,9 @@
 import org.endivemux.model.UsageLine;
 import org.endivemux.model.crash.CrashNews;
 import org.endivemux.model.gateway.ServiceLoad;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.StreamKey;
+import org.endivemux.model.gateway.StreamStarts;
 import org.endivemux.model.gateway.WindowCount;
 
 /** Request of a VM to the control leader. All kinds are immutable and thread-safe. */
@@ -24,7 +28,8 @@
   @JsonSubTypes.Type(value = ControlRequest.AwaitInForce.class, name = "await"),
   @JsonSubTypes.Type(value = ControlRequest.FindClaim.class, name = "find"),
   @JsonSubTypes.Type(value = ControlRequest.ReadReport.class, name = "report"),
-  @JsonSubTypes.Type(value = ControlRequest.ReadGatewayConfig.class, name = "config")
+  @JsonSubTypes.Type(value = ControlRequest.ReadGatewayConfig.class, name = "config"),
+  @JsonSubTypes.Type(value = ControlRequest.FindStreamVersion.class, name = "stream")
 })
 public sealed interface ControlRequest {
   record Submit(Command command) implements ControlRequest {}
@@ -63,6 +68,15 @@
   /** Asks for the newest gateway configuration as the operator sent it. */
   record ReadGatewayConfig() implements ControlRequest {}
 
+  /**
+   * Asks which software version began a stream; leaders of an earlier version fail to read it.
+   *
+   * @param stream the stream, if the caller has named it
+   * @param lifetimeMillis how long a stream of the request's route may last, resumptions included
+   */
+  record FindStreamVersion(ServiceName service, Optional<StreamKey> stream, long lifetimeMillis)
+      implements ControlRequest {}
+
   /**
    * Gateway part of a {@link Poll}. Immutable and thread-safe.
    *
@@ -75,6 +89,7 @@
    * @param crashes what the entry knows of crashes of backend servers
    * @param speeds samples of the speed of some backend servers, in turn
    * @param refusing backend servers with a warm-up that refused connections of the entry lately
+   * @param streams streams that have begun and whose versions the leader does not know yet
    */
   record GatewayPoll(
       long serversNumber,
@@ -85,9 +100,11 @@
       List<BackendServerId> leaving,
       CrashNews crashes,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) List<SpeedAt> speeds,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<BackendServerId> refusing) {
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<BackendServerId> refusing,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<StreamStarts> streams) {
     public GatewayPoll {
       // A process of an earlier version sends none of these.
+      streams = streams == null ? List.of() : List.copyOf(streams);
       refusing = refusing == null ? List.of() : List.copyOf(refusing);
       speeds = speeds == null ? List.of() : List.copyOf(speeds);
       leaving = leaving == null ? List.of() : List.copyOf(leaving);
@@ -100,7 +117,16 @@
     /** Returns the part of an entry that has no gateway. */
     public static GatewayPoll none() {
       return new GatewayPoll(
-          0, List.of(), 0, List.of(), List.of(), List.of(), CrashNews.none(), List.of(), List.of());
+          0,
+          List.of(),
+          0,
+          List.of(),
+          List.of(),
+          List.of(),
+          CrashNews.none(),
+          List.of(),
+          List.of(),
+          List.of());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/state/Command.java
+++ b/control/src/main/java/org/endivemux/control/state/Command.java
@@ -1,5 +1,6 @@
 package org.endivemux.control.state;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
@@ -154,9 +155,28 @@
   /** Ends the evacuation of a failure domain; has no effect unless it is evacuated. */
   record EndEvacuation(FailureDomain failureDomain) implements Command {}
 
+  /** Returns a command without effect, which carries a {@link VersionNote}. */
+  static Command noChange() {
+    return new SetLeaving(List.of(), false, "");
+  }
+
   /**
    * A command with the leader's wall-clock time in Unix milliseconds. Every replica uses this time
    * to expire state, so that all replicas expire the same state at the same log index.
+   *
+   * @param note a change of the {@link StreamVersions}; not a command, so that voters of an earlier
+   *     version, which would end at an unknown command, pass over it
    */
-  record Stamped(long atMillis, Command command) {}
+  record Stamped(
+      long atMillis,
+      Command command,
+      @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<VersionNote> note) {
+    public Stamped {
+      note = note == null ? Optional.empty() : note;
+    }
+
+    public Stamped(long atMillis, Command command) {
+      this(atMillis, command, Optional.empty());
+    }
+  }
 }
--- a/control/src/main/java/org/endivemux/control/state/ControlSnapshot.java
+++ b/control/src/main/java/org/endivemux/control/state/ControlSnapshot.java
@@ -19,9 +19,11 @@
     List<BackendServerId> leaving,
     GatewayConfigHistory.Saved gateway,
     WindowReports.Saved windowReports,
-    Evacuations.Saved evacuations) {
+    Evacuations.Saved evacuations,
+    StreamVersions.Saved streamVersions) {
   ControlSnapshot {
-    // A snapshot of an earlier version has none.
+    // A snapshot of an earlier version has none of these.
+    streamVersions = streamVersions == null ? StreamVersions.Saved.initial() : streamVersions;
     evacuations = evacuations == null ? Evacuations.Saved.initial() : evacuations;
   }
 
@@ -37,6 +39,7 @@
         new ArrayList<>(),
         GatewayConfigHistory.Saved.none(),
         WindowReports.Saved.initial(),
-        Evacuations.Saved.initial());
+        Evacuations.Saved.initial(),
+        StreamVersions.Saved.initial());
   }
 }
--- a/control/src/main/java/org/endivemux/control/state/ControlState.java
+++ b/control/src/main/java/org/endivemux/control/state/ControlState.java
@@ -44,6 +44,7 @@
   private final WindowReports windowReports = new WindowReports();
   private final GatewayConfigHistory gateway = new GatewayConfigHistory();
   private final Evacuations evacuations = new Evacuations();
+  private final StreamVersions streamVersions = new StreamVersions();
   private final Set<BackendServerId> leaving = new HashSet<>();
   private final Deque<NumberedChange> changes = new ArrayDeque<>();
   private EntryView view = EntryView.empty();
@@ -58,6 +59,7 @@
       claims.removeExpired(nowMillis);
       prunedAtMillis = nowMillis;
     }
+    stamped.note().ifPresent(streamVersions::apply);
     return apply(index, stamped.command());
   }
 
@@ -231,6 +233,11 @@
     return windowReports;
   }
 
+  /** Returns which software versions began the recent streams. */
+  public StreamVersions streamVersions() {
+    return streamVersions;
+  }
+
   /** Returns all orders, oldest first. */
   public List<Order> orders() {
     return orders.all();
@@ -250,7 +257,8 @@
             List.copyOf(leaving),
             gateway.save(),
             windowReports.save(),
-            evacuations.save());
+            evacuations.save(),
+            streamVersions.save());
     return Bytes.of(MessagePackCodec.encode(saved));
   }
 
@@ -269,6 +277,7 @@
     gateway.restore(saved.gateway());
     windowReports.restore(saved.windowReports());
     evacuations.restore(saved.evacuations());
+    streamVersions.restore(saved.streamVersions());
     leaving.clear();
     leaving.addAll(saved.leaving());
     changes.clear();
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/state/VersionNote.java
@@ -0,0 +1,25 @@
+package org.endivemux.control.state;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.SoftwareVersion;
+import org.endivemux.model.gateway.StreamStarts;
+
+/**
+ * What a leader adds to the replicated {@link StreamVersions}. Immutable and thread-safe.
+ *
+ * @param atMillis true time at the leader, in Unix milliseconds
+ * @param listed the versions of the listed servers of each service, when they have changed
+ * @param starts streams that have begun
+ */
+public record VersionNote(
+    long atMillis,
+    Optional<Map<ServiceName, List<SoftwareVersion>>> listed,
+    List<StreamStarts> starts) {
+  public VersionNote {
+    listed = listed.map(Map::copyOf);
+    starts = List.copyOf(starts);
+  }
+}
--- a/control/src/main/java/org/endivemux/control/voter/ControlService.java
+++ b/control/src/main/java/org/endivemux/control/voter/ControlService.java
@@ -46,6 +46,7 @@
   private final TrueTime time;
   private final FleetLoad loads;
   private final PartQuarantine quarantine;
+  private final StreamRecorder streams;
   private final Sinks.Many<Boolean> changeSignal = Sinks.many().multicast().directBestEffort();
 
   public ControlService(
@@ -57,7 +58,8 @@
       WindowCounts counts,
       TrueTime time,
       FleetLoad loads,
-      PartQuarantine quarantine) {
+      PartQuarantine quarantine,
+      StreamRecorder streams) {
     this.self = self;
     this.voter = voter;
     this.registry = registry;
@@ -67,6 +69,7 @@
     this.time = time;
     this.loads = loads;
     this.quarantine = quarantine;
+    this.streams = streams;
     voter.onViewChanged(this::wakePolls);
   }
 
@@ -90,6 +93,9 @@
     } else if (request instanceof ControlRequest.FindClaim it) {
       return read(state -> new ControlReply.ClaimFound(findClaim(state, it)));
     }
+    if (request instanceof ControlRequest.FindStreamVersion it) {
+      return read(state -> streams.find(state.streamVersions(), it));
+    }
     if (request instanceof ControlRequest.ReadGatewayConfig) {
       return read(state -> new ControlReply.GatewayConfigFound(state.gatewayDocument()));
     }
@@ -185,6 +191,7 @@
       counts.add(poll.entry(), gateway.counts(), time.millis());
       loads.add(poll.entry().vm(), gateway.loads(), gateway.inFlight(), clocks.nanos());
       recordCrashes(poll);
+      streams.add(gateway.streams());
       if (servers.reportRefusing(voter.status().term(), gateway.refusing(), time.millis())) {
         logger.atInfo().log(
             "event=servers_refusing vm=%s servers=%s", poll.entry().vm(), gateway.refusing());
--- a/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
+++ b/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
@@ -68,6 +68,7 @@
   private final ControlService service;
   private final PlatformPort platform;
   private final ServerDirectory directory;
+  private final StreamRecorder streams;
   private final WindowCounts counts;
   private final TrueTime time;
   private final Clocks clocks;
@@ -95,6 +96,7 @@
       ControlService service,
       PlatformPort platform,
       ServerDirectory directory,
+      StreamRecorder streams,
       WindowCounts counts,
       TrueTime time,
       Clocks clocks,
@@ -105,6 +107,7 @@
     this.service = service;
     this.platform = platform;
     this.directory = directory;
+    this.streams = streams;
     this.counts = counts;
     this.time = time;
     this.clocks = clocks;
@@ -171,7 +174,15 @@
     }
     listReadAt = clocks.nanos();
     long term = leaderTerm;
-    return platform.servers().doOnNext(listing -> applyList(term, listing)).then();
+    return platform
+        .servers()
+        .flatMap(
+            listing ->
+                streams
+                    .noteListed(term, directory.complete(term, listing, time.millis()))
+                    .thenReturn(listing))
+        .doOnNext(listing -> applyList(term, listing))
+        .then();
   }
 
   private void applyList(long term, ServerListing listing) {
--- a/control/src/main/java/org/endivemux/control/voter/ReplicatedState.java
+++ b/control/src/main/java/org/endivemux/control/voter/ReplicatedState.java
@@ -6,6 +6,7 @@
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.CommandResult;
 import org.endivemux.control.state.ControlState;
+import org.endivemux.control.state.VersionNote;
 
 /**
  * The replicated state as one member of the log holds it.
@@ -23,6 +24,9 @@
    */
   CompletableFuture<CommandResult> submit(Command command);
 
+  /** Proposes a command without effect that carries a note; completes as {@link #submit} does. */
+  CompletableFuture<CommandResult> submit(VersionNote note);
+
   /** Runs a query between two commands. */
   <T> CompletableFuture<T> read(Function<ControlState, T> query);
 
--- a/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
@@ -47,8 +47,7 @@
    * @param nowMillis true time at which the listing was received, in Unix milliseconds
    */
   synchronized boolean replace(long newTerm, ServerListing listing, long nowMillis) {
-    List<GatewayServer> read =
-        listing.completedFrom(newTerm == term ? servers : List.of(), nowMillis);
+    List<GatewayServer> read = complete(newTerm, listing, nowMillis);
     if (newTerm != term) {
       reportedLeaving.clear();
     }
@@ -56,6 +55,11 @@
     return update(newTerm, read);
   }
 
+  /** Returns the servers of a listing, with what is known of them in this term. */
+  synchronized List<GatewayServer> complete(long newTerm, ServerListing listing, long nowMillis) {
+    return listing.completedFrom(newTerm == term ? servers : List.of(), nowMillis);
+  }
+
   /**
    * Records servers that told an entry that they leave, which the platform may list as sound for
    * some time; returns whether the list has changed.
--- /dev/null
+++ b/control/src/main/java/org/endivemux/control/voter/StreamRecorder.java
@@ -0,0 +1,186 @@
+package org.endivemux.control.voter;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.endivemux.control.message.ControlReply.StreamVersionFound;
+import org.endivemux.control.message.ControlRequest.FindStreamVersion;
+import org.endivemux.control.state.CommandResult;
+import org.endivemux.control.state.StreamVersions;
+import org.endivemux.control.state.VersionNote;
+import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.SoftwareVersion;
+import org.endivemux.model.gateway.StreamOriginSource;
+import org.endivemux.model.gateway.StreamStarts;
+import reactor.core.publisher.Mono;
+
+/**
+ * Commits which software versions are listed and which version began each stream.
+ *
+ * <p>Invariants: the streams that all entries report within {@link #COMMIT_DELAY} are one log
+ * entry; what has not been committed yet is known to this leader; a changed set of versions is
+ * committed before it is published. Thread-safe.
+ */
+public final class StreamRecorder {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration COMMIT_DELAY = Duration.ofMillis(200);
+
+  /** Streams of half a minute of a fleet at its largest; further ones are not recorded. */
+  private static final int MAX_PENDING = 120_000;
+
+  /** How often unchanged versions are noted, well within the gap that makes them unknown. */
+  private static final long NOTE_INTERVAL_MILLIS = StreamVersions.MAX_GAP_MILLIS / 3;
+
+  private final ReplicatedState voter;
+  private final TrueTime time;
+  private final List<StreamStarts> pending = new ArrayList<>();
+  private List<StreamStarts> committing = List.of();
+  private int pendingCount;
+  private boolean isScheduled;
+  private long notedTerm = -1;
+  private long notedAtMillis;
+  private Map<ServiceName, List<SoftwareVersion>> noted = Map.of();
+
+  public StreamRecorder(ReplicatedState voter, TrueTime time) {
+    this.voter = voter;
+    this.time = time;
+  }
+
+  /** Adds streams that an entry reports; they are committed soon. */
+  void add(Collection<StreamStarts> starts) {
+    if (!starts.isEmpty() && addAndCheckDue(starts)) {
+      var unused = Mono.delay(COMMIT_DELAY).subscribe(tick -> commit());
+    }
+  }
+
+  /** Adds streams; returns whether a commit has to be scheduled. */
+  private synchronized boolean addAndCheckDue(Collection<StreamStarts> starts) {
+    if (pendingCount >= MAX_PENDING) {
+      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log("event=streams_not_recorded");
+      return false;
+    }
+    pending.addAll(starts);
+    pendingCount += starts.stream().mapToInt(it -> it.streams().size()).sum();
+    boolean isDue = !isScheduled;
+    isScheduled = true;
+    return isDue;
+  }
+
+  private void commit() {
+    List<StreamStarts> batch = takePending();
+    var unused =
+        note(Optional.empty(), batch)
+            .whenComplete(
+                (done, error) -> {
+                  if (error != null) {
+                    logger.atWarning().log(
+                        "event=streams_not_recorded batches=%d cause=\"%s\"", batch.size(), error);
+                  }
+                });
+  }
+
+  private synchronized List<StreamStarts> takePending() {
+    committing = merged(pending);
+    pending.clear();
+    pendingCount = 0;
+    isScheduled = false;
+    return committing;
+  }
+
+  /** Joins the streams of one service, version and lifetime. */
+  private static List<StreamStarts> merged(List<StreamStarts> starts) {
+    return starts.stream()
+        .collect(
+            Collectors.groupingBy(
+                it -> new StreamStarts(it.service(), it.version(), it.lifetimeMillis(), List.of())))
+        .entrySet()
+        .stream()
+        .map(
+            group ->
+                new StreamStarts(
+                    group.getKey().service(),
+                    group.getKey().version(),
+                    group.getKey().lifetimeMillis(),
+                    group.getValue().stream().flatMap(it -> it.streams().stream()).toList()))
+        .toList();
+  }
+
+  private CompletableFuture<CommandResult> note(
+      Optional<Map<ServiceName, List<SoftwareVersion>>> listed, List<StreamStarts> starts) {
+    return voter.submit(new VersionNote(time.millis(), listed, starts));
+  }
+
+  /** Completes when the versions of the listed servers are committed, at once if they are. */
+  Mono<Void> noteListed(long term, List<GatewayServer> servers) {
+    Map<ServiceName, List<SoftwareVersion>> listed = versions(servers);
+    if (isNoted(term, listed)) {
+      return Mono.empty();
+    }
+    return Mono.fromFuture(() -> note(Optional.of(listed), List.of()))
+        .doOnNext(done -> noted(term, listed))
+        .then();
+  }
+
+  private static Map<ServiceName, List<SoftwareVersion>> versions(List<GatewayServer> servers) {
+    Map<ServiceName, TreeSet<String>> byService = new TreeMap<>();
+    servers.forEach(
+        server ->
+            byService
+                .computeIfAbsent(server.service(), none -> new TreeSet<>())
+                .add(server.version().orElse(SoftwareVersion.UNSTATED).value()));
+    return byService.entrySet().stream()
+        .collect(
+            Collectors.toMap(
+                Map.Entry::getKey,
+                service -> service.getValue().stream().map(SoftwareVersion::new).toList()));
+  }
+
+  private synchronized boolean isNoted(long term, Map<ServiceName, List<SoftwareVersion>> listed) {
+    return term == notedTerm
+        && listed.equals(noted)
+        && time.millis() - notedAtMillis < NOTE_INTERVAL_MILLIS;
+  }
+
+  private synchronized void noted(long term, Map<ServiceName, List<SoftwareVersion>> listed) {
+    if (term != notedTerm || !listed.equals(noted)) {
+      logger.atInfo().log("event=versions_listed term=%d versions=%s", term, listed);
+    }
+    notedTerm = term;
+    noted = listed;
+    notedAtMillis = time.millis();
+  }
+
+  /** Finds the version that began a stream, in what is not committed yet or in the state. */
+  StreamVersionFound find(StreamVersions committed, FindStreamVersion request) {
+    Optional<SoftwareVersion> uncommitted = findUncommitted(request);
+    if (uncommitted.isPresent()) {
+      return new StreamVersionFound(uncommitted, StreamOriginSource.RECORD);
+    }
+    StreamVersions.Found found =
+        committed.find(
+            request.service(), request.stream(), request.lifetimeMillis(), time.millis());
+    return new StreamVersionFound(found.version(), found.source());
+  }
+
+  private synchronized Optional<SoftwareVersion> findUncommitted(FindStreamVersion request) {
+    return request.stream()
+        .flatMap(
+            stream ->
+                Stream.concat(pending.stream(), committing.stream())
+                    .filter(it -> it.service().equals(request.service()))
+                    .filter(it -> it.streams().contains(stream))
+                    .map(StreamStarts::version)
+                    .findFirst());
+  }
+}
--- a/control/src/main/java/org/endivemux/control/voter/Voter.java
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -32,6 +33,7 @@
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.CommandResult;
 import org.endivemux.control.state.ControlState;
+import org.endivemux.control.state.VersionNote;
 import org.endivemux.model.Bytes;
 import org.endivemux.model.VmId;
 import org.endivemux.storage.DataFolder;
@@ -128,8 +130,17 @@
 
   @Override
   public CompletableFuture<CommandResult> submit(Command command) {
+    return submit(new Command.Stamped(clocks.millis(), command));
+  }
+
+  @Override
+  public CompletableFuture<CommandResult> submit(VersionNote note) {
+    return submit(new Command.Stamped(clocks.millis(), Command.noChange(), Optional.of(note)));
+  }
+
+  private CompletableFuture<CommandResult> submit(Command.Stamped stamped) {
     CompletableFuture<CommandResult> answer = new CompletableFuture<>();
-    byte[] bytes = MessagePackCodec.encode(new Command.Stamped(clocks.millis(), command));
+    byte[] bytes = MessagePackCodec.encode(stamped);
     enqueue(() -> submissions.add(new Submission(Bytes.of(bytes), answer)));
     return answer;
   }
--- a/control/src/test/java/org/endivemux/control/voter/ControlServiceTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/ControlServiceTest.java
@@ -21,6 +21,7 @@
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.CommandResult;
 import org.endivemux.control.state.ControlState;
+import org.endivemux.control.state.VersionNote;
 import org.endivemux.model.VmId;
 import org.endivemux.routing.fleet.PartQuarantine;
 
@@ -44,7 +45,8 @@
         new WindowCounts(),
         new TrueTime(clocks),
         new FleetLoad(),
-        new PartQuarantine());
+        new PartQuarantine(),
+        new StreamRecorder(leader, new TrueTime(clocks)));
   }
 
   @Provide
@@ -84,6 +86,11 @@
       throw new AssertionError("Nothing is written.");
     }
 
+    @Override
+    public CompletableFuture<CommandResult> submit(VersionNote note) {
+      throw new AssertionError("Nothing is written.");
+    }
+
     @Override
     public <T> CompletableFuture<T> read(Function<ControlState, T> query) {
       return CompletableFuture.completedFuture(query.apply(state));
--- a/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
+++ b/control/src/test/java/org/endivemux/control/voter/InForceSimulation.java
@@ -22,6 +22,7 @@
 import org.endivemux.control.state.Command;
 import org.endivemux.control.state.CommandResult;
 import org.endivemux.control.state.ControlState;
+import org.endivemux.control.state.VersionNote;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.Incarnation;
@@ -88,7 +89,8 @@
             new WindowCounts(),
             new TrueTime(clocks),
             new FleetLoad(),
-            new PartQuarantine());
+            new PartQuarantine(),
+            new StreamRecorder(leader, new TrueTime(clocks)));
     this.entries = IntStream.range(0, load.entries()).mapToObj(Entry::new).toList();
   }
 
@@ -322,6 +324,11 @@
           .toFuture();
     }
 
+    @Override
+    public CompletableFuture<CommandResult> submit(VersionNote note) {
+      return submit(Command.noChange());
+    }
+
     private CommandResult apply(Command command) {
       long before = state.view().revision();
       CommandResult result = state.apply(++index, new Command.Stamped(clocks.millis(), command));
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -24,6 +24,7 @@
 import org.endivemux.control.voter.LeaderTasks;
 import org.endivemux.control.voter.PlatformClient;
 import org.endivemux.control.voter.ServerDirectory;
+import org.endivemux.control.voter.StreamRecorder;
 import org.endivemux.control.voter.TrueTime;
 import org.endivemux.control.voter.Voter;
 import org.endivemux.control.voter.WindowCounts;
@@ -109,7 +110,8 @@
                     new WindowCounts(),
                     new TrueTime(clocks),
                     new FleetLoad(),
-                    new PartQuarantine()));
+                    new PartQuarantine(),
+                    new StreamRecorder(ownVoter, new TrueTime(clocks))));
     this.leaderTasks = service.map(this::leaderTasks);
     Map<VmId, ControlClient.VoterClient> voterClients = voterClients();
     ControlClient control = new ControlClient(voterClients::get, settings.voters().keySet());
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -11,6 +11,8 @@
 import java.util.function.Supplier;
 import org.endivemux.control.client.ControlClient;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.client.StreamLedger;
+import org.endivemux.control.client.StreamVersionLookup;
 import org.endivemux.control.client.UsageLedger;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.control.voter.Clocks;
@@ -120,6 +122,7 @@
     GatewayCounters counters = new GatewayCounters(metrics);
     HttpBackends backends = new HttpBackends(loop, counters);
     CrashWatch crashes = new CrashWatch(backends, clocks::nanos, timers);
+    StreamLedger streams = new StreamLedger(clocks::nanos);
     GatewaySyncState syncState =
         new GatewaySyncState(
             clocks,
@@ -129,7 +132,8 @@
             pool.figures()::leaving,
             crashes::news,
             pool.figures()::nextSpeeds,
-            pool.figures()::refusing);
+            pool.figures()::refusing,
+            streams);
     syncState.onFleetLoad(pool::updateFleetLoad);
     syncState.onSpeeds(pool::updateSpeeds);
     this.follower =
@@ -142,6 +146,7 @@
             pool,
             backends,
             syncState,
+            new StreamVersionLookup(streams, control),
             crashes,
             counters,
             this::entryCount,
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
@@ -13,6 +13,7 @@
 import org.endivemux.control.voter.GatewayLeaderTasks;
 import org.endivemux.control.voter.PlannedCapacity;
 import org.endivemux.control.voter.ServerDirectory;
+import org.endivemux.control.voter.StreamRecorder;
 import org.endivemux.control.voter.TrueTime;
 import org.endivemux.control.voter.Voter;
 import org.endivemux.control.voter.WindowCounts;
@@ -51,6 +52,7 @@
     WindowCounts counts = new WindowCounts();
     TrueTime time = new TrueTime(clocks);
     FleetLoad loads = new FleetLoad();
+    StreamRecorder streams = new StreamRecorder(voter, time);
     this.service =
         new ControlService(
             self,
@@ -61,7 +63,8 @@
             counts,
             time,
             loads,
-            new PartQuarantine());
+            new PartQuarantine(),
+            streams);
     this.leaderTasks =
         new GatewayLeaderTasks(
             voter,
@@ -72,6 +75,7 @@
                 voter::holdsLease,
                 loop),
             directory,
+            streams,
             counts,
             time,
             clocks,
--- a/gateway/src/main/java/org/endivemux/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/endivemux/gateway/AdmittedRequest.java
@@ -36,6 +36,22 @@
   private static final int CALLER_WAIT_TARGETS = 4;
   private static final int CALLER_WAIT_GAPS = 8;
 
+  /**
+   * Time beyond two timeouts of its route within which a stream ends, with all of the attempts of
+   * its caller, even if its route had another timeout when it began.
+   */
+  private static final long STREAM_LIFETIME_MARGIN_MILLIS = 5000;
+
+  /** Returns how long a stream of the route may be taken up after its first event. */
+  long streamLifetimeMillis() {
+    return 2 * route.timeoutMillis() + STREAM_LIFETIME_MARGIN_MILLIS;
+  }
+
+  /** Returns whether the request continues a stream that an earlier attempt of its caller began. */
+  boolean isTakeUp() {
+    return route.kind() == RequestKind.STREAM && head.resumeAfter().isPresent();
+  }
+
   /** Returns when the caller leaves if it has nothing of the response by then. */
   long callerLeavesAt() {
     long waitMillis =
--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
@@ -13,6 +14,8 @@
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListing;
+import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.SoftwareVersion;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -23,7 +26,8 @@
  * <p>Invariants: the more entries there are, the less often each of them reads, so that together
  * they stay far below the platform's rate limit; an entry that has no configuration yet reads
  * nothing, since it neither sends requests nor knows how many entries there are; a server that is
- * known to leave stays so. Thread-safe.
+ * known to leave stays so; a server with a version that no leader has listed is left out, since
+ * only a leader records which versions serve. Thread-safe.
  */
 public final class DirectListing implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -88,12 +92,26 @@
     if (syncState.nanosSinceLeaderHeard() >= LEADER_SILENCE_NANOS) {
       List<GatewayServer> known = syncState.servers();
       List<GatewayServer> servers =
-          withLeaving(listing.completedFrom(known, syncState.trueMillis()), known);
+          withLeaving(
+              ofKnownVersions(listing.completedFrom(known, syncState.trueMillis()), known), known);
       logger.atInfo().log("event=list_read_directly count=%d", servers.size());
       syncState.replaceServers(servers);
     }
   }
 
+  private static List<GatewayServer> ofKnownVersions(
+      List<GatewayServer> read, List<GatewayServer> known) {
+    Set<ServiceVersion> versions =
+        known.stream().map(ServiceVersion::of).collect(Collectors.toSet());
+    return read.stream().filter(it -> versions.contains(ServiceVersion.of(it))).toList();
+  }
+
+  private record ServiceVersion(ServiceName service, Optional<SoftwareVersion> version) {
+    static ServiceVersion of(GatewayServer server) {
+      return new ServiceVersion(server.service(), server.version());
+    }
+  }
+
   /**
    * Returns the servers that were read, of which those known to leave do so: the leader may have
    * heard it from another entry, long before the platform lists it.
--- a/gateway/src/main/java/org/endivemux/gateway/Gateway.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.client.StreamVersionLookup;
 import org.endivemux.control.client.ViewFollower;
 import org.endivemux.model.Keys;
 import org.endivemux.model.Reason;
@@ -50,6 +51,7 @@
       ServerPool pool,
       BackendPort backends,
       GatewaySyncState syncState,
+      StreamVersionLookup versions,
       CrashWatch crashes,
       GatewayCounters counters,
       IntSupplier entries,
@@ -70,6 +72,7 @@
             pool,
             backends,
             syncState,
+            versions,
             crashes,
             counters,
             () -> table,
--- a/gateway/src/main/java/org/endivemux/gateway/Progress.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Progress.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
+import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.routing.RetryPolicy.Delivered;
 import org.endivemux.wire.SendMarker;
 
@@ -25,18 +26,19 @@
   private boolean counted;
   private OptionalLong lastEvent;
   private Optional<RetainedResponse> retained = Optional.empty();
-  private Optional<StreamOrigin> origin;
+  private Optional<StreamOrigin> origin = Optional.empty();
 
   /** Holds a backend server's error response, for the case that no other attempt succeeds. */
   @SuppressWarnings("ArrayRecordComponent") // Bodies are passed on, not compared.
   record RetainedResponse(ResponsePart.Head head, byte[] body) {}
 
-  /**
-   * @param origin which servers may run the request, if it continues a stream
-   */
-  Progress(OptionalLong lastEvent, Optional<StreamOrigin> origin) {
+  Progress(OptionalLong lastEvent) {
     this.lastEvent = lastEvent;
-    this.origin = origin;
+  }
+
+  /** Records which version began the stream that the request takes up. */
+  void takesUp(SoftwareVersion version) {
+    origin = Optional.of(new StreamOrigin(Optional.of(version)));
   }
 
   /** Records that a server has sent the first event of an attempt. */
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -10,6 +10,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.client.StreamVersionLookup;
+import org.endivemux.control.message.ControlReply.StreamVersionFound;
 import org.endivemux.gateway.BackendPort.Call;
 import org.endivemux.gateway.EventLoopStall.SendCheck;
 import org.endivemux.model.Reason;
@@ -19,6 +21,7 @@
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
 import org.endivemux.model.gateway.SoftwareVersion;
+import org.endivemux.model.gateway.StreamKey;
 import org.endivemux.routing.RetryPolicy;
 import org.endivemux.routing.RetryPolicy.FailedAttempt;
 import org.endivemux.routing.fleet.AttemptResult;
@@ -53,6 +56,7 @@
   private final ServerPool pool;
   private final BackendPort backends;
   private final ResponseReader reader;
+  private final StreamVersionLookup versions;
   private final CrashWatch crashes;
   private final GatewayCounters counters;
   private final Supplier<RouteTable> table;
@@ -70,6 +74,7 @@
       ServerPool pool,
       BackendPort backends,
       GatewaySyncState syncState,
+      StreamVersionLookup versions,
       CrashWatch crashes,
       GatewayCounters counters,
       Supplier<RouteTable> table,
@@ -82,7 +87,8 @@
       Scheduler timers) {
     this.pool = pool;
     this.backends = backends;
-    this.reader = new ResponseReader(pool, syncState, nanos);
+    this.reader = new ResponseReader(pool, syncState, versions.ledger(), nanos);
+    this.versions = versions;
     this.crashes = crashes;
     this.counters = counters;
     this.table = table;
@@ -98,17 +104,47 @@
 
   /** Runs a request to completion; fails with {@link GatewayRefusal}. */
   Flux<ResponsePart> run(AdmittedRequest request, byte[] body) {
-    Progress progress = new Progress(request.head().resumeAfter(), Optional.empty());
+    Progress progress = new Progress(request.head().resumeAfter());
     retries.requested(request.service());
     hedges.requested();
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
     return EarlyEnd.failOn(
-            attempt(request, body, progress),
+            findOrigin(request, progress).thenMany(attempt(request, body, progress)),
             Mono.firstWithSignal(Mono.delay(timeLeft, timers).then(), stop.ended())
                 .then(Mono.fromSupplier(TimeoutException::new)))
         .onErrorResume(error -> finalResponse(progress, error));
   }
 
+  /**
+   * Finds which version began the stream that a request takes up; fails with {@link GatewayRefusal}
+   * if that is not known.
+   */
+  private Mono<Void> findOrigin(AdmittedRequest request, Progress progress) {
+    if (!request.isTakeUp()) {
+      return Mono.empty();
+    }
+    Optional<StreamKey> stream = request.head().resumedAttempt().map(StreamKey::of);
+    return versions
+        .find(request.service(), stream, request.streamLifetimeMillis())
+        .flatMap(found -> takeUp(request, progress, found));
+  }
+
+  private static Mono<Void> takeUp(
+      AdmittedRequest request, Progress progress, StreamVersionFound found) {
+    logger.atInfo().log(
+        "event=stream_taken_up request=%s resumes=%s after=%d software=%s source=%s",
+        request.head().id(),
+        request.head().resumedAttempt().orElse("unnamed"),
+        request.head().resumeAfter().orElse(0),
+        found.version().map(SoftwareVersion::value).orElse("unknown"),
+        found.source());
+    if (found.version().isEmpty()) {
+      return Mono.error(GatewayRefusal.of(Reason.STREAM_VERSION_UNKNOWN));
+    }
+    progress.takesUp(found.version().get());
+    return Mono.empty();
+  }
+
   private Flux<ResponsePart> attempt(AdmittedRequest request, byte[] body, Progress progress) {
     return Flux.defer(
         () -> {
--- a/gateway/src/main/java/org/endivemux/gateway/RequestHead.java
+++ b/gateway/src/main/java/org/endivemux/gateway/RequestHead.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.endivemux.model.gateway.StreamKey;
 import org.endivemux.routing.fleet.PromptShape;
 
 /**
@@ -16,6 +17,8 @@
  * @param key proves the caller's organisation; never logged and never forwarded
  * @param maxWaitMillis how long the caller will wait
  * @param resumeAfter id of the last event of a stream that the caller has received
+ * @param resumedAttempt id of the caller's attempt that brought the first event of the stream that
+ *     this request takes up, if it says so
  * @param forwardedHeaders headers for the backend server
  */
 public record RequestHead(
@@ -26,9 +29,15 @@
     Optional<String> key,
     OptionalLong maxWaitMillis,
     OptionalLong resumeAfter,
+    Optional<String> resumedAttempt,
     PromptShape prompt,
     HttpHeaders forwardedHeaders) {
 
+  /** Returns the key of the request's stream, over all of the caller's attempts. */
+  StreamKey streamKey() {
+    return StreamKey.of(resumedAttempt.orElse(id));
+  }
+
   /** Returns the path without the query. */
   public String path() {
     int query = uri.indexOf('?');
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.client.StreamLedger;
 import org.endivemux.gateway.BackendPort.Response;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.RequestId;
@@ -45,10 +46,13 @@
 
   private final ServerPool pool;
   private final GatewaySyncState syncState;
+  private final StreamLedger streams;
   private final LongSupplier nanos;
   private final ResponseMemory memory = new ResponseMemory(MEMORY_BYTES);
 
-  ResponseReader(ServerPool pool, GatewaySyncState syncState, LongSupplier nanos) {
+  ResponseReader(
+      ServerPool pool, GatewaySyncState syncState, StreamLedger streams, LongSupplier nanos) {
+    this.streams = streams;
     this.pool = pool;
     this.syncState = syncState;
     this.nanos = nanos;
@@ -134,9 +138,25 @@
   private void firstEvent(AdmittedRequest request, Progress progress, Binding binding) {
     pool.feedback().answered(binding.job().id());
     progress.streamRunsAt(binding.server());
+    if (request.route().repeatable()) {
+      recordOrigin(request, binding.server());
+    }
     countOnce(request, progress, nanos.getAsLong());
   }
 
+  /** Records the version of a stream's server, for callers who take the stream up elsewhere. */
+  private void recordOrigin(AdmittedRequest request, GatewayServer server) {
+    server
+        .version()
+        .ifPresent(
+            version ->
+                streams.began(
+                    request.head().streamKey(),
+                    request.service(),
+                    version,
+                    request.streamLifetimeMillis()));
+  }
+
   /** Counts a request that has begun to run for usage, once over all of its attempts. */
   private void countOnce(AdmittedRequest request, Progress progress, long beganAt) {
     Optional<OrganisationId> organisation = request.organisation();
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,6 +17,7 @@
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListing;
 import org.endivemux.model.gateway.ServiceName;
+import org.endivemux.model.gateway.SoftwareVersion;
 import reactor.core.publisher.Mono;
 
 /** Checks when an entry reads the platform's list itself. */
@@ -92,4 +94,18 @@
     assertThat(syncState.servers())
         .containsExactly(server.asLeaving(), Fixtures.server("s2", new ServiceName("llm")));
   }
+
+  /** Guards against streams of a version that is not in the record of which versions serve. */
+  @Example
+  void serverWithAVersionThatNoLeaderHasListedIsLeftOut() {
+    GatewayServer known = Fixtures.server("s1", new ServiceName("llm"));
+    GatewayServer unknown =
+        Fixtures.server("s2", new ServiceName("llm"))
+            .withVersion(Optional.of(new SoftwareVersion("v2")));
+    syncState.replaceServers(List.of(known));
+    listed = List.of(known, unknown);
+    run(listing(6), Duration.ofSeconds(3));
+    assertThat(reads).hasValue(1);
+    assertThat(syncState.servers()).containsExactly(known);
+  }
 }
--- a/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
+++ b/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
@@ -7,18 +7,25 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import org.endivemux.control.client.ControlClient;
+import org.endivemux.control.client.StreamLedger;
+import org.endivemux.control.client.StreamVersionLookup;
+import org.endivemux.control.message.ControlReply.StreamVersionFound;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.ServerKind;
+import org.endivemux.model.VmId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.HostRoute;
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.Share;
 import org.endivemux.model.gateway.SoftwareVersion;
+import org.endivemux.model.gateway.StreamOriginSource;
 import org.endivemux.routing.fleet.FleetScheduler;
 import org.endivemux.routing.fleet.PromptShape;
 import org.endivemux.routing.fleet.ServerNotices;
+import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
@@ -57,6 +64,7 @@
         key,
         OptionalLong.empty(),
         OptionalLong.empty(),
+        Optional.empty(),
         prompt,
         new DefaultHttpHeaders());
   }
@@ -67,6 +75,19 @@
         .withVersion(Optional.of(VERSION));
   }
 
+  /** Returns a lookup with an empty ledger and a leader that gives one answer. */
+  static StreamVersionLookup versions(StreamVersionFound found) {
+    return new StreamVersionLookup(
+        new StreamLedger(System::nanoTime),
+        new ControlClient(
+            vm -> (request, limit) -> Mono.just(found), List.of(new VmId("127.0.0.1:1"))));
+  }
+
+  /** Returns a lookup that knows no stream. */
+  static StreamVersionLookup noVersions() {
+    return versions(new StreamVersionFound(Optional.empty(), StreamOriginSource.NONE));
+  }
+
   static ServerPool pool(LongSupplier nanos) {
     return pool(nanos, Schedulers.parallel());
   }
--- a/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/GatewayAdmissionTest.java
@@ -102,6 +102,7 @@
         Fixtures.pool(nanos::get),
         backends,
         syncState,
+        Fixtures.noVersions(),
         new CrashWatch(backends, nanos::get, Schedulers.parallel()),
         new GatewayCounters(new MetricRegistry()),
         () -> 1,
--- a/gateway/src/test/java/org/endivemux/gateway/HedgeRun.java
+++ b/gateway/src/test/java/org/endivemux/gateway/HedgeRun.java
@@ -92,6 +92,7 @@
         pool,
         backend,
         syncState,
+        Fixtures.noVersions(),
         new CrashWatch(backend, this::now, time),
         new GatewayCounters(metrics),
         () -> new RouteTable(config),
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.client.StreamVersionLookup;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.model.OrganisationId;
 import org.endivemux.model.Reason;
@@ -27,7 +28,7 @@
 final class RelayRuns {
   static final Duration LIMIT = Duration.ofSeconds(20);
 
-  private static final ServiceName SERVICE = new ServiceName("service");
+  static final ServiceName SERVICE = new ServiceName("service");
   private static final Duration START_SLACK = Duration.ofSeconds(5);
 
   private RelayRuns() {}
@@ -110,6 +111,17 @@
       PlannedStop stop,
       ServerPool pool,
       EventLoopStall stall) {
+    return run(backend, request, retrySlack, stop, pool, stall, Fixtures.noVersions());
+  }
+
+  static Flux<ResponsePart> run(
+      ScriptedBackend backend,
+      AdmittedRequest request,
+      double retrySlack,
+      PlannedStop stop,
+      ServerPool pool,
+      EventLoopStall stall,
+      StreamVersionLookup versions) {
     RouteTable table = new RouteTable(config(request));
     Relay relay =
         new Relay(
@@ -117,6 +129,7 @@
             backend,
             new GatewaySyncState(
                 Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
+            versions,
             new CrashWatch(backend, System::nanoTime, Schedulers.parallel()),
             new GatewayCounters(new MetricRegistry()),
             () -> table,
--- a/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/ResponseReaderTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import net.jqwik.api.Example;
 import org.endivemux.control.client.GatewaySyncState;
+import org.endivemux.control.client.StreamLedger;
 import org.endivemux.control.voter.Clocks;
 import org.endivemux.gateway.BackendPort.Response;
 import org.endivemux.gateway.ResponseMemory.ResponseTooLargeException;
@@ -38,12 +39,13 @@
     return new ResponseReader(
         pool,
         new GatewaySyncState(Clocks.system(), 5000, List::of, List::of, List::of, CrashNews::none),
+        new StreamLedger(System::nanoTime),
         System::nanoTime);
   }
 
   private Flux<ResponsePart> read(ServiceName service, RequestKind kind, Flux<byte[]> body) {
     AdmittedRequest request = request(service, kind);
-    Progress progress = new Progress(OptionalLong.empty(), Optional.empty());
+    Progress progress = new Progress(OptionalLong.empty());
     Response response =
         new Response(200, new DefaultHttpHeaders(), false, false, false, Duration.ZERO, body);
     return reader.read(request, progress, binding(service), System.nanoTime(), response);
@@ -104,7 +106,7 @@
         reader(pool)
             .read(
                 request(SOUND, RequestKind.IDEMPOTENT),
-                new Progress(OptionalLong.empty(), Optional.empty()),
+                new Progress(OptionalLong.empty()),
                 binding,
                 System.nanoTime(),
                 response)
@@ -137,7 +139,7 @@
         reader(pool)
             .read(
                 request(SOUND, RequestKind.IDEMPOTENT),
-                new Progress(OptionalLong.empty(), Optional.empty()),
+                new Progress(OptionalLong.empty()),
                 binding(SOUND),
                 System.nanoTime(),
                 response)
--- a/model/src/main/java/org/endivemux/model/gateway/SoftwareVersion.java
+++ b/model/src/main/java/org/endivemux/model/gateway/SoftwareVersion.java
@@ -10,6 +10,9 @@
 public record SoftwareVersion(@JsonValue String value) {
   static final int MAX_LENGTH = 200;
 
+  /** Stands for the versions of servers that state none. */
+  public static final SoftwareVersion UNSTATED = new SoftwareVersion("(unstated)");
+
   /** Throws {@link IllegalArgumentException} when the value is not a valid version. */
   @JsonCreator
   public SoftwareVersion {
