Treat a response with a malformed status as an error that ends its connection

Cause: the decoder takes any number for a status. On a connection that had answered before, a head is looked for by its status line; one with another first digit than 1 to 9 was no status line, so that its call waited for a head until its time was over.

Change: a status is three digits from 100 to 599; other texts and numbers (also 0200, 2000, +200) make the response an error of the server and close its connection. Such a head is found on a reused connection, too, also without an id.

StatusLineTest: eleven statuses with five kinds of body between two sound calls; red before (the call hung), green after.

--- a/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
@@ -33,7 +33,8 @@
  * connection on which they arrived while no request was in progress is closed at once, and one on
  * which they came before a response, or in the same read after it, is closed after that response; a
  * response without an id is accepted for the first request of a connection only, which is then
- * closed; an interim response is never passed on. A copy of an error response cannot be told from
+ * closed; an interim response is never passed on; a response whose status is not three digits from
+ * 100 to 599 is an error that ends the connection. A copy of an error response cannot be told from
  * the response to the same request when it is sent again, so a connection remembers the requests
  * that it answered with errors; see {@link #hasAnsweredWithError}.
  *
@@ -171,6 +172,10 @@
       if (messages.isEmpty()) {
         return;
       }
+      if (messages.get(0) instanceof HttpResponse head && head.decoderResult().isFailure()) {
+        fail(context, head.decoderResult().cause());
+        return;
+      }
       if (isInterim(messages.get(0))) {
         skip(context, before - buffer.readableBytes());
         return;
@@ -179,6 +184,14 @@
       out.addAll(messages);
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+      if (!ResponseStatus.isValid(statusLine[1])) {
+        throw new IllegalArgumentException("The status " + statusLine[1] + " is malformed.");
+      }
+      return super.createMessage(statusLine);
+    }
+
     /** The library would take an interim response for the final one. */
     private boolean isInterim(Object message) {
       return message instanceof HttpResponse response
@@ -213,14 +226,19 @@
     private void skip(ChannelHandlerContext context, long count) {
       skipped += count;
       if (skipped > MAX_SKIPPED_BYTES) {
-        hasFailed = true;
-        context.fireExceptionCaught(
+        fail(
+            context,
             new TooLongFrameException(
                 "The server sent more than " + MAX_SKIPPED_BYTES + " bytes that are no response."));
-        var unused = context.close();
       }
     }
 
+    private void fail(ChannelHandlerContext context, Throwable cause) {
+      hasFailed = true;
+      context.fireExceptionCaught(cause);
+      var unused = context.close();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
       if (inProgress.isPresent() && !hasHead && skipped > 0) {
--- a/wire/src/main/java/org/endivemux/wire/http/ResponseHeads.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ResponseHeads.java
@@ -4,7 +4,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.Set;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 
@@ -17,14 +16,20 @@
  * assumes that no header of a server quotes a status line.
  *
  * <p>Invariants: a head that was found has one status line, and each id in it is that of the
- * request. Immutable and thread-safe.
+ * request. A head without an id and with a malformed status counts as the request's: a server that
+ * sends it is in trouble, and nothing else may follow. Immutable and thread-safe.
  */
 final class ResponseHeads {
   /** More than a decoder of responses accepts. */
   private static final int MAX_HEAD_BYTES = 64 << 10;
 
-  private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-9]\\d\\d[ \r\n]");
-  private static final int STATUS_LINE_BYTES = "HTTP/1.1 200 ".length();
+  /** Also with a malformed status, whose response is not to be awaited any longer. */
+  private static final Pattern STATUS_LINE =
+      Pattern.compile("HTTP/1\\.[01] [-+]?\\d[0-9A-Za-z]{0,5}[ \r\n]");
+
+  private static final int MIN_STATUS_LINE_BYTES = "HTTP/1.1 2 ".length();
+  private static final int MAX_STATUS_LINE_BYTES = "HTTP/1.1 +200200 ".length();
+  private static final Pattern INTERIM_STATUS = Pattern.compile("1\\d\\d[ \r\n]");
   private static final int STATUS_INDEX = "HTTP/1.1 ".length();
   private static final int NOT_FOUND = -1;
 
@@ -60,25 +65,30 @@
       buffer.readerIndex(next);
       start = statusLine(buffer, next, buffer.writerIndex());
     }
-    int incomplete = Math.min(buffer.readableBytes(), STATUS_LINE_BYTES - 1);
+    int incomplete = Math.min(buffer.readableBytes(), MAX_STATUS_LINE_BYTES - 1);
     buffer.readerIndex(buffer.writerIndex() - incomplete);
     return false;
   }
 
   private boolean belongsTo(Optional<String> request, String head) {
-    if (head.charAt(STATUS_INDEX) == '1') {
+    if (INTERIM_STATUS.matcher(head).region(STATUS_INDEX, head.length()).lookingAt()) {
       return false;
     }
     Set<String> named =
         idHeader.matcher(head).results().map(id -> id.group(1).strip()).collect(Collectors.toSet());
-    return named.equals(request.map(Set::of).orElse(Set.of()));
+    boolean isUnnamedFailure = named.isEmpty() && !ResponseStatus.isValid(status(head));
+    return isUnnamedFailure || named.equals(request.map(Set::of).orElse(Set.of()));
+  }
+
+  private static String status(String head) {
+    return head.substring(STATUS_INDEX).split("[ \r\n]", 2)[0];
   }
 
   /** Returns where the first whole status line in a part of the buffer starts. */
   private static int statusLine(ByteBuf buffer, int from, int to) {
     int start = buffer.indexOf(from, to, (byte) 'H');
-    while (start != NOT_FOUND && start + STATUS_LINE_BYTES <= to) {
-      if (isStatusLine(buffer, start)) {
+    while (start != NOT_FOUND && start + MIN_STATUS_LINE_BYTES <= to) {
+      if (isStatusLine(buffer, start, to)) {
         return start;
       }
       start = buffer.indexOf(start + 1, to, (byte) 'H');
@@ -97,12 +107,12 @@
     return last;
   }
 
-  private static boolean isStatusLine(ByteBuf buffer, int start) {
+  private static boolean isStatusLine(ByteBuf buffer, int start, int to) {
     if (buffer.getByte(start + 1) != 'T') {
       return false;
     }
-    Matcher matcher = STATUS_LINE.matcher(text(buffer, start, start + STATUS_LINE_BYTES));
-    return matcher.matches();
+    int end = Math.min(to, start + MAX_STATUS_LINE_BYTES);
+    return STATUS_LINE.matcher(text(buffer, start, end)).lookingAt();
   }
 
   /** Returns the index after the empty line that ends the head at the reader index. */
