Test releases with real processes and in the soak; log why a stream is broken

StreamReleaseTest kills all entries while engines of two versions stream, takes the streams up at the restarted ones (all go on at their version), then takes them up again when the old version has left (its streams are refused with 503). The engines mark each event with their version and refuse nothing.

--- a/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
@@ -18,6 +18,7 @@
 final class RequestExplanation {
   private static final String SENT = "sent";
   private static final String ATTEMPT_FAILED = "try_failed";
+  private static final String VERSION_GONE = "stream_version_gone";
   private static final String REFUSED = "refused";
   private static final String ANSWERED = "answered";
   private static final String CALLER_LEFT = "caller_left";
@@ -90,6 +91,12 @@
   }
 
   private String causeOfRefusal(LogLine refusal) {
+    Optional<LogLine> versionGone = lastLine(VERSION_GONE);
+    if (versionGone.isPresent()) {
+      return "Its stream broke off, and no other server had the version "
+          + versionGone.get().field("software")
+          + " that began it.";
+    }
     Optional<LogLine> failure = lastLine(ATTEMPT_FAILED);
     if (failure.isPresent()) {
       return "Attempt "
@@ -107,6 +114,10 @@
       case "TOO_LATE" ->
           "No server had room in the time that the request could wait; see server_paused and"
               + " server_leaving for servers that took none.";
+      case "STREAM_VERSION_GONE" ->
+          "It takes up a stream, and no server had the version that began it.";
+      case "STREAM_VERSION_UNKNOWN" ->
+          "It takes up a stream, and it was not known which version began it.";
       case "PROMPT_QUARANTINED" -> "Backend servers crashed on a part of its prompt.";
       case "NO_CONFIG" -> "The entry had not yet received any configuration.";
       case "UNKNOWN_ROUTE" -> "No route of the version in force matches the host and the path.";
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -112,7 +112,7 @@
             findOrigin(request, progress).thenMany(attempt(request, body, progress)),
             Mono.firstWithSignal(Mono.delay(timeLeft, timers).then(), stop.ended())
                 .then(Mono.fromSupplier(TimeoutException::new)))
-        .onErrorResume(error -> finalResponse(progress, error));
+        .onErrorResume(error -> finalResponse(request, progress, error));
   }
 
   /**
@@ -310,13 +310,30 @@
     return attempt(request, body, progress);
   }
 
+  /** Tells why a stream is broken, which its final reason does not. */
+  private static void logIfVersionGone(
+      AdmittedRequest request, Progress progress, Throwable error) {
+    if (error instanceof GatewayRefusal refusal && refusal.reason() == Reason.STREAM_VERSION_GONE) {
+      logger.atInfo().log(
+          "event=stream_version_gone request=%s software=%s",
+          request.head().id(),
+          progress
+              .origin()
+              .flatMap(StreamOrigin::version)
+              .map(SoftwareVersion::value)
+              .orElse("unknown"));
+    }
+  }
+
   private static boolean mayRepeat(HostRoute route, Progress progress) {
     return route.repeatable() && progress.possibleRuns() < route.maxServers();
   }
 
   /** Ends a request whose last attempt failed. */
-  private Flux<ResponsePart> finalResponse(Progress progress, Throwable error) {
+  private Flux<ResponsePart> finalResponse(
+      AdmittedRequest request, Progress progress, Throwable error) {
     if (progress.headDelivered()) {
+      logIfVersionGone(request, progress, error);
       return Flux.error(new GatewayRefusal(Reason.ANSWER_BROKEN));
     }
     if (progress.retained().isPresent()) {
--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -109,8 +109,17 @@
   }
 
   private EngineStandIn startEngine(int index) {
+    enginesStarted++;
     return new EngineStandIn(
-        "i-" + ++enginesStarted, at(50 + index + REAL_ADDRESS_OFFSET, ENGINE_PORT), witness);
+        "i-" + enginesStarted,
+        version(enginesStarted),
+        at(50 + index + REAL_ADDRESS_OFFSET, ENGINE_PORT),
+        witness);
+  }
+
+  /** Returns the version of a backend server; some of those that replace others have a new one. */
+  private static String version(int number) {
+    return number % 3 == 0 ? "v2" : "v1";
   }
 
   /** Replaces a backend server by a new one with another id at the same address. */
@@ -143,7 +152,8 @@
                         engines.get(i).id(),
                         i % 2 == 0 ? "till" : "llm",
                         network + (50 + i + engineAddressOffset) + ":" + ENGINE_PORT,
-                        "d" + i % 3))
+                        "d" + i % 3,
+                        engines.get(i).version()))
             .toList());
   }
 
--- /dev/null
+++ b/integration/src/test/java/org/endivemux/integration/StreamReleaseTest.java
@@ -0,0 +1,169 @@
+package org.endivemux.integration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.IntFunction;
+import java.util.function.Predicate;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import org.endivemux.platform.standin.CallerStandIn;
+import org.endivemux.platform.standin.StreamingEngineStandIn;
+
+/** Takes streams up after all entries were killed, while two software versions serve. */
+final class StreamReleaseTest {
+  private static final int STREAMS = 16;
+  private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\w+)\n\n");
+
+  private static final Pattern EVENT_VERSION = Pattern.compile("data: (v\\d)");
+
+  /** By this event, 30 ms each, the entry has polled and the leader has committed the start. */
+  private static final int RECORDED_EVENTS = 30;
+
+  private final List<StreamingEngineStandIn> engines =
+      List.of(engine("a", "v1"), engine("b", "v1"), engine("c", "v2"), engine("d", "v2"));
+
+  /** What a caller has of a stream: the versions of its events and the last event's number. */
+  private record Stream(String firstAttempt, Set<String> versions, int last) {
+    static Stream of(String firstAttempt, String received) {
+      List<MatchResult> events = EVENT.matcher(received).results().toList();
+      return new Stream(
+          firstAttempt,
+          events.stream().map(event -> event.group(2)).collect(Collectors.toSet()),
+          events.isEmpty() ? 0 : Integer.parseInt(events.get(events.size() - 1).group(1)));
+    }
+
+    boolean isOf(String version) {
+      return versions.equals(Set.of(version));
+    }
+  }
+
+  /** What the take-up of a stream got. */
+  private record TakeUp(Stream before, int status, Stream after) {
+    boolean goesOn() {
+      return status == 200 && after.last() == StreamingEngineStandIn.EVENTS;
+    }
+  }
+
+  private static StreamingEngineStandIn engine(String id, String version) {
+    return new StreamingEngineStandIn("i-" + id, version);
+  }
+
+  /**
+   * Guards against a stream that is joined from two versions after the entry that began it was
+   * lost, and against take-ups that are refused although their version serves.
+   */
+  @Example
+  void streamsGoOnAtTheirVersionAfterAllEntriesWereKilled() {
+    try (GatewayFleet fleet = new GatewayFleet(2, 2)) {
+      // A stream may be taken up for twice as long, however slow the machine is.
+      fleet.operator.streamTimeoutMillis(30_000);
+      fleet.start();
+      list(fleet, engine -> true);
+      Await.until("both versions serve", () -> versionsServed(fleet).size() == 2);
+
+      List<Stream> streams = brokenStreams(fleet);
+      List<TakeUp> takeUps = takeUp(fleet, streams);
+      list(fleet, engine -> engine.version().equals("v2"));
+      Await.until("the old version has left", () -> versionsServed(fleet).equals(Set.of("v2")));
+      List<TakeUp> late = takeUp(fleet, streams);
+
+      assertThat(streams).allMatch(it -> it.versions().size() == 1 && it.last() >= RECORDED_EVENTS);
+      assertThat(streams).anyMatch(it -> it.isOf("v1")).anyMatch(it -> it.isOf("v2"));
+      assertThat(takeUps).allMatch(TakeUp::goesOn);
+      assertThat(takeUps).allMatch(it -> it.after().versions().equals(it.before().versions()));
+      assertThat(late)
+          .allMatch(it -> it.before().isOf("v1") ? it.status() == 503 : it.goesOn())
+          .filteredOn(TakeUp::goesOn)
+          .allMatch(it -> it.after().isOf("v2"));
+    } finally {
+      engines.forEach(StreamingEngineStandIn::close);
+    }
+  }
+
+  private void list(GatewayFleet fleet, Predicate<StreamingEngineStandIn> isListed) {
+    fleet.platform.updateServers(
+        engines.stream().filter(isListed).map(engine -> engine.listItem("llm", "d0")).toList());
+  }
+
+  /** Returns the versions that some new streams get. */
+  private static Set<String> versionsServed(GatewayFleet fleet) {
+    return IntStream.range(0, 8)
+        .mapToObj(i -> call(fleet, i, "probe" + System.nanoTime(), "", "\n\nid: 2"))
+        .flatMap(text -> EVENT_VERSION.matcher(text).results())
+        .map(version -> version.group(1))
+        .collect(Collectors.toSet());
+  }
+
+  /** Begins streams at all entries, kills these in mid-stream and starts them again. */
+  private static List<Stream> brokenStreams(GatewayFleet fleet) {
+    CountDownLatch recorded = new CountDownLatch(STREAMS);
+    return inParallel(
+        i -> {
+          String attempt = "first" + i;
+          try (RawCall call = send(fleet, i, attempt, "")) {
+            String begin = call.readUntil("id: " + RECORDED_EVENTS + "\n");
+            recorded.countDown();
+            Await.until("all streams are recorded", () -> recorded.getCount() == 0);
+            killOnce(fleet);
+            return Stream.of(attempt, begin + call.readUntil("no such text"));
+          }
+        },
+        fleet);
+  }
+
+  private static synchronized void killOnce(GatewayFleet fleet) {
+    if (fleet.entries.stream().allMatch(Vm::isRunning)) {
+      fleet.entries.forEach(Vm::kill);
+    }
+  }
+
+  private static List<Stream> inParallel(IntFunction<Stream> begin, GatewayFleet fleet) {
+    ExecutorService threads = Executors.newFixedThreadPool(STREAMS);
+    List<CompletableFuture<Stream>> begun =
+        IntStream.range(0, STREAMS)
+            .mapToObj(i -> CompletableFuture.supplyAsync(() -> begin.apply(i), threads))
+            .toList();
+    List<Stream> streams = begun.stream().map(CompletableFuture::join).toList();
+    threads.shutdown();
+    fleet.entries.forEach(Vm::start);
+    fleet.awaitReady();
+    return streams;
+  }
+
+  private static List<TakeUp> takeUp(GatewayFleet fleet, List<Stream> streams) {
+    return IntStream.range(0, streams.size())
+        .parallel()
+        .mapToObj(i -> takeUp(fleet, i + 1, streams.get(i)))
+        .toList();
+  }
+
+  private static TakeUp takeUp(GatewayFleet fleet, int entry, Stream stream) {
+    String headers =
+        "Resumes: " + stream.firstAttempt() + "\r\nLast-Event-Id: " + stream.last() + "\r\n";
+    String text = call(fleet, entry, "again" + System.nanoTime(), headers, "no such text");
+    int status = Integer.parseInt(text.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
+    return new TakeUp(stream, status, Stream.of(stream.firstAttempt(), text));
+  }
+
+  private static String call(
+      GatewayFleet fleet, int entry, String attempt, String headers, String until) {
+    try (RawCall call = send(fleet, entry, attempt, headers)) {
+      return call.readUntil(until);
+    }
+  }
+
+  private static RawCall send(GatewayFleet fleet, int entry, String attempt, String headers) {
+    Vm target = fleet.entries.get(entry % fleet.entries.size());
+    return RawCall.send(
+        fleet.callersSocket(target), CallerStandIn.rawStreamRequest(attempt, headers));
+  }
+}
