Bound the work for streams that wait for a full version

A pass over the queue compared every server for each continued stream without room; with many take-ups after a restart of the entries and few servers of the old version left, each event of the entry repeated that. A pass now remembers the versions without room. Refused take-ups of an unknown version are told different times to return, like other refusals.

Not measured; the behaviour is held by JobOfOneVersionTest and TakeUpTest.

--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -139,7 +139,10 @@
         found.version().map(SoftwareVersion::value).orElse("unknown"),
         found.source());
     if (found.version().isEmpty()) {
-      return Mono.error(GatewayRefusal.of(Reason.STREAM_VERSION_UNKNOWN));
+      return Mono.error(
+          new GatewayRefusal(
+              Reason.STREAM_VERSION_UNKNOWN,
+              ServerPool.retryAfterMillis(new RequestId(request.head().id()))));
     }
     progress.takesUp(found.version().get());
     return Mono.empty();
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -195,15 +195,21 @@
       return;
     }
     var jobs = queue.iterator();
+    FullVersions fullVersions = new FullVersions();
     boolean hasCapacity = true;
     while (jobs.hasNext() && hasCapacity) {
       FleetJob job = jobs.next();
+      if (fullVersions.covers(job)) {
+        continue;
+      }
       Optional<ServerLoad> chosen = chooser.choose(job, now);
-      // A job that only servers of one version may run says nothing about the others' capacity.
-      hasCapacity = chosen.isPresent() || job.version().isPresent();
       if (chosen.isPresent()) {
         jobs.remove();
         bound.add(started(job, chosen.get(), now));
+      } else {
+        // A job that only servers of one version may run says nothing about the others' capacity.
+        hasCapacity = job.version().isPresent();
+        fullVersions.add(job);
       }
     }
   }
