--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -11,7 +11,6 @@
 import java.util.function.Supplier;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.control.client.StreamVersionLookup;
-import org.endivemux.control.message.ControlReply.StreamVersionFound;
 import org.endivemux.gateway.BackendPort.Call;
 import org.endivemux.gateway.EventLoopStall.SendCheck;
 import org.endivemux.model.Reason;
@@ -21,7 +20,6 @@
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
 import org.endivemux.model.gateway.SoftwareVersion;
-import org.endivemux.model.gateway.StreamKey;
 import org.endivemux.routing.RetryPolicy;
 import org.endivemux.routing.RetryPolicy.FailedAttempt;
 import org.endivemux.routing.fleet.AttemptResult;
@@ -56,7 +54,7 @@
   private final ServerPool pool;
   private final BackendPort backends;
   private final ResponseReader reader;
-  private final StreamVersionLookup versions;
+  private final TakeUps takeUps;
   private final CrashWatch crashes;
   private final GatewayCounters counters;
   private final Supplier<RouteTable> table;
@@ -88,7 +86,7 @@
     this.pool = pool;
     this.backends = backends;
     this.reader = new ResponseReader(pool, syncState, versions.ledger(), nanos);
-    this.versions = versions;
+    this.takeUps = new TakeUps(versions);
     this.crashes = crashes;
     this.counters = counters;
     this.table = table;
@@ -109,45 +107,12 @@
     hedges.requested();
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
     return EarlyEnd.failOn(
-            findOrigin(request, progress).thenMany(attempt(request, body, progress)),
+            takeUps.findOrigin(request, progress).thenMany(attempt(request, body, progress)),
             Mono.firstWithSignal(Mono.delay(timeLeft, timers).then(), stop.ended())
                 .then(Mono.fromSupplier(TimeoutException::new)))
         .onErrorResume(error -> finalResponse(request, progress, error));
   }
 
-  /**
-   * Finds which version began the stream that a request takes up; fails with {@link GatewayRefusal}
-   * if that is not known.
-   */
-  private Mono<Void> findOrigin(AdmittedRequest request, Progress progress) {
-    if (!request.isTakeUp()) {
-      return Mono.empty();
-    }
-    Optional<StreamKey> stream = request.head().resumedAttempt().map(StreamKey::of);
-    return versions
-        .find(request.service(), stream, request.streamLifetimeMillis())
-        .flatMap(found -> takeUp(request, progress, found));
-  }
-
-  private static Mono<Void> takeUp(
-      AdmittedRequest request, Progress progress, StreamVersionFound found) {
-    logger.atInfo().log(
-        "event=stream_taken_up request=%s resumes=%s after=%d software=%s source=%s",
-        request.head().id(),
-        request.head().resumedAttempt().orElse("unnamed"),
-        request.head().resumeAfter().orElse(0),
-        found.version().map(SoftwareVersion::value).orElse("unknown"),
-        found.source());
-    if (found.version().isEmpty()) {
-      return Mono.error(
-          new GatewayRefusal(
-              Reason.STREAM_VERSION_UNKNOWN,
-              ServerPool.retryAfterMillis(new RequestId(request.head().id()))));
-    }
-    progress.takesUp(found.version().get());
-    return Mono.empty();
-  }
-
   private Flux<ResponsePart> attempt(AdmittedRequest request, byte[] body, Progress progress) {
     return Flux.defer(
         () -> {
@@ -313,21 +278,6 @@
     return attempt(request, body, progress);
   }
 
-  /** Tells why a stream is broken, which its final reason does not. */
-  private static void logIfVersionGone(
-      AdmittedRequest request, Progress progress, Throwable error) {
-    if (error instanceof GatewayRefusal refusal && refusal.reason() == Reason.STREAM_VERSION_GONE) {
-      logger.atInfo().log(
-          "event=stream_version_gone request=%s software=%s",
-          request.head().id(),
-          progress
-              .origin()
-              .flatMap(StreamOrigin::version)
-              .map(SoftwareVersion::value)
-              .orElse("unknown"));
-    }
-  }
-
   private static boolean mayRepeat(HostRoute route, Progress progress) {
     return route.repeatable() && progress.possibleRuns() < route.maxServers();
   }
@@ -336,7 +286,7 @@
   private Flux<ResponsePart> finalResponse(
       AdmittedRequest request, Progress progress, Throwable error) {
     if (progress.headDelivered()) {
-      logIfVersionGone(request, progress, error);
+      TakeUps.logIfVersionGone(request, progress, error);
       return Flux.error(new GatewayRefusal(Reason.ANSWER_BROKEN));
     }
     if (progress.retained().isPresent()) {
