A request that takes up no stream cannot replace another stream's record

A new stream whose request named another caller's attempt (Resumes without Last-Event-Id) was recorded under that attempt, so that the take-up of the other stream could go on at another version. Found in the rereading.

Change: the named attempt counts only for a request that continues a stream. TakeUpTest.newStreamCanNotNameAnotherAttempt: red before.

--- a/gateway/src/main/java/org/endivemux/gateway/RequestHead.java
+++ b/gateway/src/main/java/org/endivemux/gateway/RequestHead.java
@@ -33,9 +33,12 @@
     PromptShape prompt,
     HttpHeaders forwardedHeaders) {
 
-  /** Returns the key of the request's stream, over all of the caller's attempts. */
+  /**
+   * Returns the key of the request's stream, over all of the caller's attempts. A request that
+   * takes up no stream cannot name another attempt's.
+   */
   StreamKey streamKey() {
-    return StreamKey.of(resumedAttempt.orElse(id));
+    return StreamKey.of(resumedAttempt.filter(first -> resumeAfter.isPresent()).orElse(id));
   }
 
   /** Returns the path without the query. */
--- a/gateway/src/test/java/org/endivemux/gateway/TakeUpTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/TakeUpTest.java
@@ -65,6 +65,10 @@
   }
 
   private static RequestHead head(String id, Optional<String> resumes) {
+    return head(id, resumes, resumes.isPresent() ? OptionalLong.of(1) : OptionalLong.empty());
+  }
+
+  private static RequestHead head(String id, Optional<String> resumes, OptionalLong resumeAfter) {
     RequestHead plain = Fixtures.head("/p/x", Optional.empty(), PromptShape.none());
     return new RequestHead(
         id,
@@ -73,7 +77,7 @@
         plain.uri(),
         plain.key(),
         plain.maxWaitMillis(),
-        resumes.isPresent() ? OptionalLong.of(1) : OptionalLong.empty(),
+        resumeAfter,
         resumes,
         plain.prompt(),
         plain.forwardedHeaders());
@@ -141,4 +145,19 @@
     assertThat(backend.calls).allSatisfy(call -> assertThat(call.server().version()).hasValue(OLD));
     assertThat(versions.ledger().version(RelayRuns.SERVICE, StreamKey.of("first"))).hasValue(OLD);
   }
+
+  /** Guards against a new stream that replaces the record of another caller's stream. */
+  @Example
+  void newStreamCanNotNameAnotherAttempt() {
+    StreamVersionLookup versions = Fixtures.versions(UNKNOWN);
+    pool.updateServers(List.of(server(1, OLD)), 0);
+    backend.then(responds(200, false, "id: 1\ndata: a\n\n"));
+    text(run(head("first", Optional.empty()), versions));
+    pool.updateServers(List.of(server(2, NEW)), 0);
+    backend.then(responds(200, false, "id: 1\ndata: b\n\n"));
+    text(run(head("other", Optional.of("first"), OptionalLong.empty()), versions));
+
+    assertThat(versions.ledger().version(RelayRuns.SERVICE, StreamKey.of("first"))).hasValue(OLD);
+    assertThat(versions.ledger().version(RelayRuns.SERVICE, StreamKey.of("other"))).hasValue(NEW);
+  }
 }
