Publish a server list without a new version before its note is committed

Found in the rereading: every 5 s, and in each new term, the list of servers waited for the commit of the note of their versions. While the disks of voters stall, entries would have learnt of leaving servers that much later (DRAIN).

Change: the list waits only if it has a version that the state does not list; other notes are committed in the background.

--- a/control/src/main/java/org/endivemux/control/state/StreamVersions.java
+++ b/control/src/main/java/org/endivemux/control/state/StreamVersions.java
@@ -83,6 +83,16 @@
     listed.getOrDefault(service, List.of()).forEach(it -> versions.put(it.value(), LISTED));
   }
 
+  /** Returns whether all these versions are noted as listed now. */
+  public boolean lists(Map<ServiceName, List<SoftwareVersion>> versions) {
+    return versions.entrySet().stream().allMatch(it -> lists(it.getKey(), it.getValue()));
+  }
+
+  private boolean lists(ServiceName service, List<SoftwareVersion> versions) {
+    Map<String, Long> known = lastListed.getOrDefault(service, new TreeMap<>());
+    return versions.stream().allMatch(it -> known.getOrDefault(it.value(), 0L) == LISTED);
+  }
+
   /**
    * Finds the version that began a stream.
    *
--- a/control/src/main/java/org/endivemux/control/voter/StreamRecorder.java
+++ b/control/src/main/java/org/endivemux/control/voter/StreamRecorder.java
@@ -29,8 +29,8 @@
  * Commits which software versions are listed and which version began each stream.
  *
  * <p>Invariants: the streams that all entries report within {@link #COMMIT_DELAY} are one log
- * entry; what has not been committed yet is known to this leader; a changed set of versions is
- * committed before it is published. Thread-safe.
+ * entry; what has not been committed yet is known to this leader; a version that the state does not
+ * list is committed before a list with it is published. Thread-safe.
  */
 public final class StreamRecorder {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -121,17 +121,37 @@
     return voter.submit(new VersionNote(time.millis(), listed, starts));
   }
 
-  /** Completes when the versions of the listed servers are committed, at once if they are. */
+  /**
+   * Notes the versions of the listed servers. Completes when the list may be published: at once
+   * unless it has a version that the state does not list, so that a list is not held up by a slow
+   * commit without need.
+   */
   Mono<Void> noteListed(long term, List<GatewayServer> servers) {
     Map<ServiceName, List<SoftwareVersion>> listed = versions(servers);
     if (isNoted(term, listed)) {
       return Mono.empty();
     }
+    return Mono.fromFuture(() -> voter.read(state -> state.streamVersions().lists(listed)))
+        .flatMap(
+            isKnown -> {
+              Mono<Void> committed = commitListed(term, listed);
+              return isKnown ? Mono.fromRunnable(() -> inBackground(committed)) : committed;
+            });
+  }
+
+  private Mono<Void> commitListed(long term, Map<ServiceName, List<SoftwareVersion>> listed) {
     return Mono.fromFuture(() -> note(Optional.of(listed), List.of()))
         .doOnNext(done -> noted(term, listed))
         .then();
   }
 
+  private static void inBackground(Mono<Void> commit) {
+    var unused =
+        commit.subscribe(
+            nothing -> {},
+            error -> logger.atWarning().log("event=versions_not_noted cause=\"%s\"", error));
+  }
+
   private static Map<ServiceName, List<SoftwareVersion>> versions(List<GatewayServer> servers) {
     Map<ServiceName, TreeSet<String>> byService = new TreeMap<>();
     servers.forEach(
