Keep an entry's servers while no version of their service is known

An entry that reads the platform's list itself left out servers whose version the leader had not listed. A leader of an earlier build lists no versions, so that after its end such an entry left out all servers and refused every request until the next leader answered.

Change: a server is left out only if versions of its service are known and its own is not among them.

DirectListingTest.serversStayWhileNoVersionOfTheirServiceIsKnown: red before.

--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -3,7 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
@@ -26,7 +26,7 @@
  * <p>Invariants: the more entries there are, the less often each of them reads, so that together
  * they stay far below the platform's rate limit; an entry that has no configuration yet reads
  * nothing, since it neither sends requests nor knows how many entries there are; a server that is
- * known to leave stays so; a server with a version that no leader has listed is left out, since
+ * known to leave stays so; a server with a version that is new in its service is left out, since
  * only a leader records which versions serve. Thread-safe.
  */
 public final class DirectListing implements AutoCloseable {
@@ -99,17 +99,24 @@
     }
   }
 
+  /** Leaves out servers with a version that is new in a service of which versions are known. */
   private static List<GatewayServer> ofKnownVersions(
       List<GatewayServer> read, List<GatewayServer> known) {
-    Set<ServiceVersion> versions =
-        known.stream().map(ServiceVersion::of).collect(Collectors.toSet());
-    return read.stream().filter(it -> versions.contains(ServiceVersion.of(it))).toList();
+    Map<ServiceName, Set<SoftwareVersion>> versions =
+        known.stream()
+            .filter(server -> server.version().isPresent())
+            .collect(
+                Collectors.groupingBy(
+                    GatewayServer::service,
+                    Collectors.mapping(
+                        server -> server.version().orElseThrow(), Collectors.toSet())));
+    return read.stream()
+        .filter(server -> isKnown(server, versions.getOrDefault(server.service(), Set.of())))
+        .toList();
   }
 
-  private record ServiceVersion(ServiceName service, Optional<SoftwareVersion> version) {
-    static ServiceVersion of(GatewayServer server) {
-      return new ServiceVersion(server.service(), server.version());
-    }
+  private static boolean isKnown(GatewayServer server, Set<SoftwareVersion> versions) {
+    return versions.isEmpty() || server.version().filter(versions::contains).isPresent();
   }
 
   /**
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -108,4 +108,14 @@
     assertThat(reads).hasValue(1);
     assertThat(syncState.servers()).containsExactly(known);
   }
+
+  /** Guards against an entry without servers, as a leader of an earlier build lists no versions. */
+  @Example
+  void serversStayWhileNoVersionOfTheirServiceIsKnown() {
+    GatewayServer stated = Fixtures.server("s1", new ServiceName("llm"));
+    syncState.replaceServers(List.of(stated.withVersion(Optional.empty())));
+    listed = List.of(stated);
+    run(listing(6), Duration.ofSeconds(3));
+    assertThat(syncState.servers()).containsExactly(stated);
+  }
 }
