Tests for conditions of the version change; one copy and one join

GatewayServer copies itself in one place, and streams of one service, version and lifetime are joined by StreamStarts for entries and the leader.

--- a/control/src/main/java/org/endivemux/control/client/StreamLedger.java
+++ b/control/src/main/java/org/endivemux/control/client/StreamLedger.java
@@ -1,8 +1,6 @@
 package org.endivemux.control.client;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +24,7 @@
   private static final long NANOS_PER_MILLI = 1_000_000L;
 
   /** Some minutes of an entry's streams at its largest rate. */
-  private static final int MAX_STREAMS = 8_192;
+  static final int MAX_STREAMS = 8_192;
 
   private final LongSupplier nanos;
 
@@ -90,23 +88,13 @@
 
   /** Returns the streams that no leader is known to have heard of. */
   synchronized List<StreamStarts> unreported() {
-    Map<StreamStarts, List<StreamKey>> byStart = new HashMap<>();
-    unreported.forEach(
-        (stream, start) ->
-            byStart.computeIfAbsent(head(start), none -> new ArrayList<>()).add(stream));
-    return byStart.entrySet().stream()
-        .map(
-            it ->
-                new StreamStarts(
-                    it.getKey().service(),
-                    it.getKey().version(),
-                    it.getKey().lifetimeMillis(),
-                    it.getValue()))
-        .toList();
+    return StreamStarts.joined(
+        unreported.entrySet().stream().map(it -> report(it.getKey(), it.getValue())).toList());
   }
 
-  private static StreamStarts head(Start start) {
-    return new StreamStarts(start.service(), start.version(), start.lifetimeMillis(), List.of());
+  private static StreamStarts report(StreamKey stream, Start start) {
+    return new StreamStarts(
+        start.service(), start.version(), start.lifetimeMillis(), List.of(stream));
   }
 
   /** Records that a leader has answered a poll with these streams. */
--- a/control/src/main/java/org/endivemux/control/voter/StreamRecorder.java
+++ b/control/src/main/java/org/endivemux/control/voter/StreamRecorder.java
@@ -91,31 +91,13 @@
   }
 
   private synchronized List<StreamStarts> takePending() {
-    committing = merged(pending);
+    committing = StreamStarts.joined(pending);
     pending.clear();
     pendingCount = 0;
     isScheduled = false;
     return committing;
   }
 
-  /** Joins the streams of one service, version and lifetime. */
-  private static List<StreamStarts> merged(List<StreamStarts> starts) {
-    return starts.stream()
-        .collect(
-            Collectors.groupingBy(
-                it -> new StreamStarts(it.service(), it.version(), it.lifetimeMillis(), List.of())))
-        .entrySet()
-        .stream()
-        .map(
-            group ->
-                new StreamStarts(
-                    group.getKey().service(),
-                    group.getKey().version(),
-                    group.getKey().lifetimeMillis(),
-                    group.getValue().stream().flatMap(it -> it.streams().stream()).toList()))
-        .toList();
-  }
-
   private CompletableFuture<CommandResult> note(
       Optional<Map<ServiceName, List<SoftwareVersion>>> listed, List<StreamStarts> starts) {
     return voter.submit(new VersionNote(time.millis(), listed, starts));
--- a/control/src/test/java/org/endivemux/control/message/WarmUpFieldsTest.java
+++ b/control/src/test/java/org/endivemux/control/message/WarmUpFieldsTest.java
@@ -12,6 +12,7 @@
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.model.gateway.WarmUp;
 import org.endivemux.wire.MessagePackCodec;
 
@@ -43,7 +44,11 @@
 
   @Example
   void fieldsCrossTheWire() {
-    GatewayServer cold = SERVER.coldUntil(13_000).refusedAt(12_000);
+    GatewayServer cold =
+        SERVER
+            .coldUntil(13_000)
+            .refusedAt(12_000)
+            .withVersion(Optional.of(new SoftwareVersion("v1")));
     assertThat(MessagePackCodec.decode(MessagePackCodec.encode(cold), GatewayServer.class))
         .isEqualTo(cold);
     assertThat(MessagePackCodec.decode(MessagePackCodec.encode(SPEC), ServiceSpec.class))
@@ -61,6 +66,11 @@
             MessagePackCodec.decode(
                 without("refusedAtMillis", SERVER.refusedAt(12_000)), GatewayServer.class))
         .isEqualTo(SERVER);
+    Optional<SoftwareVersion> version = Optional.of(new SoftwareVersion("v1"));
+    assertThat(
+            MessagePackCodec.decode(
+                without("version", SERVER.withVersion(version)), GatewayServer.class))
+        .isEqualTo(SERVER);
     assertThat(MessagePackCodec.decode(without("warmUp", SPEC), ServiceSpec.class).warmUp())
         .isEmpty();
   }
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -52,9 +52,9 @@
 
   ResponseReader(
       ServerPool pool, GatewaySyncState syncState, StreamLedger streams, LongSupplier nanos) {
-    this.streams = streams;
     this.pool = pool;
     this.syncState = syncState;
+    this.streams = streams;
     this.nanos = nanos;
   }
 
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
@@ -47,61 +47,39 @@
 
   /** Returns the same server, which accepts no new requests. */
   public GatewayServer asLeaving() {
-    return new GatewayServer(
-        id,
-        service,
-        address,
-        failureDomain,
-        slots,
-        true,
-        kind,
-        coldUntilMillis,
-        refusedAtMillis,
-        version);
+    return with(true, coldUntilMillis, refusedAtMillis, version);
   }
 
   /** Returns the same server, which is cold until a true time in Unix milliseconds. */
   public GatewayServer coldUntil(long millis) {
-    return new GatewayServer(
-        id,
-        service,
-        address,
-        failureDomain,
-        slots,
-        leaving,
-        kind,
-        millis,
-        refusedAtMillis,
-        version);
+    return with(leaving, millis, refusedAtMillis, version);
   }
 
   /** Returns the same server, which refused a connection at a true time in Unix milliseconds. */
   public GatewayServer refusedAt(long millis) {
-    return new GatewayServer(
-        id,
-        service,
-        address,
-        failureDomain,
-        slots,
-        leaving,
-        kind,
-        coldUntilMillis,
-        millis,
-        version);
+    return with(leaving, coldUntilMillis, millis, version);
   }
 
   /** Returns the same server with a version of its software. */
   public GatewayServer withVersion(Optional<SoftwareVersion> newVersion) {
+    return with(leaving, coldUntilMillis, refusedAtMillis, newVersion);
+  }
+
+  private GatewayServer with(
+      boolean newLeaving,
+      long newColdUntilMillis,
+      long newRefusedAtMillis,
+      Optional<SoftwareVersion> newVersion) {
     return new GatewayServer(
         id,
         service,
         address,
         failureDomain,
         slots,
-        leaving,
+        newLeaving,
         kind,
-        coldUntilMillis,
-        refusedAtMillis,
+        newColdUntilMillis,
+        newRefusedAtMillis,
         newVersion);
   }
 }
--- a/model/src/test/java/org/endivemux/model/gateway/ServerListingTest.java
+++ b/model/src/test/java/org/endivemux/model/gateway/ServerListingTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -46,4 +47,16 @@
     List<GatewayServer> cold = read(List.of(SERVER), 3000, 10_000);
     assertThat(read(cold, 3000, 12_000).get(0).coldUntilMillis()).isEqualTo(15_000);
   }
+
+  /** Guards against a version that is forgotten while another writer's entry states none. */
+  @Example
+  void readingWithoutAVersionKeepsTheKnownOne() {
+    Optional<SoftwareVersion> old = Optional.of(new SoftwareVersion("v1"));
+    Optional<SoftwareVersion> newer = Optional.of(new SoftwareVersion("v2"));
+    List<GatewayServer> known = List.of(SERVER.withVersion(old));
+    assertThat(read(known, 0, 0)).isEqualTo(known);
+    assertThat(
+            new ServerListing(List.of(SERVER.withVersion(newer)), Set.of()).completedFrom(known, 0))
+        .containsExactly(SERVER.withVersion(newer));
+  }
 }
--- a/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
@@ -25,6 +25,8 @@
   private final FleetScheduler scheduler =
       new FleetScheduler(DOMAIN, new ServerNotices(Duration.ofMinutes(1)));
 
+  private int copies;
+
   private static GatewayServer server(String id, SoftwareVersion version) {
     return new GatewayServer(
             new BackendServerId(id), Fleet.LLM, id + ":1", DOMAIN, SLOTS, false, ServerKind.STEADY)
@@ -32,6 +34,11 @@
   }
 
   private static FleetJob job(String id, Optional<SoftwareVersion> version) {
+    return job(id, version, Set.of());
+  }
+
+  private static FleetJob job(
+      String id, Optional<SoftwareVersion> version, Set<BackendServerId> avoid) {
     return new FleetJob(
         new RequestId(id),
         Fleet.LLM,
@@ -42,7 +49,7 @@
         false,
         0,
         Optional.empty(),
-        Set.of(),
+        avoid,
         version);
   }
 
@@ -92,4 +99,54 @@
     scheduler.updateServers(List.of());
     assertThat(scheduler.isOpen(server("s", OLD))).isFalse();
   }
+
+  /** Guards against a job that waits although a server has room, since another one avoids it. */
+  @Example
+  void jobThatAvoidsServersSaysNothingAboutOthersOfItsVersion() {
+    scheduler.updateServers(List.of(server("s", OLD)));
+    FleetJob avoiding = job("a", Optional.of(OLD), Set.of(new BackendServerId("s")));
+    FullVersions full = new FullVersions();
+    full.add(avoiding);
+    assertThat(full.covers(job("b", Optional.of(OLD)))).isFalse();
+    full.add(job("b", Optional.of(OLD)));
+    assertThat(full.covers(avoiding)).isTrue();
+    assertThat(full.covers(job("c", Optional.of(NEW)))).isFalse();
+    assertThat(full.covers(job("d", Optional.empty()))).isFalse();
+  }
+
+  /** Guards against a job of any version that waits, since one of a full version was larger. */
+  @Example
+  void jobOfOneVersionSaysNothingAboutTheCapacityForOthers() {
+    JobsWithoutCapacity without = new JobsWithoutCapacity();
+    without.add(job("a", Optional.of(OLD)));
+    assertThat(without.covers(job("b", Optional.empty()))).isFalse();
+  }
+
+  /** Guards against a server that is told to copy what another version wrote. */
+  @Example
+  void sharedPartsAreNotCopiedFromAnotherVersion() {
+    scheduler.updateServers(List.of(server("s1", OLD), server("s2", NEW)));
+    assertThat(copySource(OLD)).isEmpty();
+    scheduler.updateServers(List.of(server("s1", OLD), server("s2", OLD)));
+    assertThat(copySource(OLD)).isPresent();
+  }
+
+  /** Returns where the shared parts of a job come from, which a server has run before. */
+  private Optional<GatewayServer> copySource(SoftwareVersion version) {
+    String id = "copied" + copies++;
+    scheduler.offer(prompt(id + "first", Set.of(new BackendServerId("s1"))));
+    assertThat(scheduler.bind(0)).hasSize(1);
+    scheduler.ended(new RequestId(id + "first"), AttemptResult.OK, 0);
+    scheduler.offer(prompt(id, Set.of(new BackendServerId("s2"))));
+    List<Binding> bound = scheduler.bind(0);
+    assertThat(bound.get(0).server().version()).hasValue(version);
+    scheduler.ended(new RequestId(id), AttemptResult.FAILED, 0);
+    return bound.get(0).copyFrom();
+  }
+
+  private static FleetJob prompt(String id, Set<BackendServerId> avoid) {
+    FleetJob job = Fleet.job(1, 0, Fleet.prompt("session"));
+    return new FleetJob(
+        new RequestId(id), Fleet.LLM, 1, 0, Long.MAX_VALUE, job.prompt(), false, avoid);
+  }
 }
