--- a/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
+++ b/cli/src/main/java/org/endivemux/cli/RequestExplanation.java
@@ -115,9 +115,9 @@
           "No server had room in the time that the request could wait; see server_paused and"
               + " server_leaving for servers that took none.";
       case "STREAM_VERSION_GONE" ->
-          "It takes up a stream, and no server had the version that began it.";
+          "It resumes a stream, and no server had the version that began it.";
       case "STREAM_VERSION_UNKNOWN" ->
-          "It takes up a stream, and it was not known which version began it.";
+          "It resumes a stream, and it was not known which version began it.";
       case "PROMPT_QUARANTINED" -> "Backend servers crashed on a part of its prompt.";
       case "NO_CONFIG" -> "The entry had not yet received any configuration.";
       case "UNKNOWN_ROUTE" -> "No route of the version in force matches the host and the path.";
--- a/control/src/main/java/org/endivemux/control/client/StreamLedger.java
+++ b/control/src/main/java/org/endivemux/control/client/StreamLedger.java
@@ -28,7 +28,7 @@
 
   private final LongSupplier nanos;
 
-  /** All streams that may still be taken up, oldest first. */
+  /** All streams that may still be resumed, oldest first. */
   private final LinkedHashMap<StreamKey, Start> starts = new LinkedHashMap<>();
 
   private final LinkedHashMap<StreamKey, Start> unreported = new LinkedHashMap<>();
@@ -46,7 +46,7 @@
   /**
    * Records that a server of a version has sent the first event of a stream.
    *
-   * @param lifetimeMillis how long the stream may be taken up
+   * @param lifetimeMillis how long the stream may be resumed
    */
   public synchronized void began(
       StreamKey stream, ServiceName service, SoftwareVersion version, long lifetimeMillis) {
--- a/control/src/main/java/org/endivemux/control/client/StreamVersionLookup.java
+++ b/control/src/main/java/org/endivemux/control/client/StreamVersionLookup.java
@@ -12,7 +12,7 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Finds which software version began a stream that a caller takes up.
+ * Finds which software version began a stream that a caller resumes.
  *
  * <p>Invariant: an unknown version stays unknown; it is never concluded from the servers that are
  * listed now. Thread-safe.
--- a/control/src/test/java/org/endivemux/control/state/StreamVersionsTest.java
+++ b/control/src/test/java/org/endivemux/control/state/StreamVersionsTest.java
@@ -20,7 +20,7 @@
 import org.endivemux.model.gateway.StreamStarts;
 import org.endivemux.wire.MessagePackCodec;
 
-/** Checks which version is named for a stream that a caller takes up. */
+/** Checks which version is named for a stream that a caller resumes. */
 final class StreamVersionsTest {
   private static final ServiceName SERVICE = new ServiceName("llm");
   private static final SoftwareVersion OLD = new SoftwareVersion("v1");
--- a/control/src/test/java/org/endivemux/control/voter/StreamRecorderTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/StreamRecorderTest.java
@@ -97,7 +97,7 @@
     assertThat(leader.notes.get(0).starts().get(0).streams()).hasSize(50);
   }
 
-  /** Guards against a take-up that is refused although the leader has heard of the stream. */
+  /** Guards against a resumption that is refused although the leader has heard of the stream. */
   @Example
   void streamIsFoundBeforeItsCommit() {
     recorder.add(List.of(starts("a")));
--- a/gateway/src/main/java/org/endivemux/gateway/AdmittedRequest.java
+++ b/gateway/src/main/java/org/endivemux/gateway/AdmittedRequest.java
@@ -42,13 +42,13 @@
    */
   private static final long STREAM_LIFETIME_MARGIN_MILLIS = 5000;
 
-  /** Returns how long a stream of the route may be taken up after its first event. */
+  /** Returns how long a stream of the route may be resumed after its first event. */
   long streamLifetimeMillis() {
     return 2 * route.timeoutMillis() + STREAM_LIFETIME_MARGIN_MILLIS;
   }
 
   /** Returns whether the request continues a stream that an earlier attempt of its caller began. */
-  boolean isTakeUp() {
+  boolean isResumption() {
     return route.kind() == RequestKind.STREAM && head.resumeAfter().isPresent();
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/Progress.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Progress.java
@@ -36,8 +36,8 @@
     this.lastEvent = lastEvent;
   }
 
-  /** Records which version began the stream that the request takes up. */
-  void takesUp(SoftwareVersion version) {
+  /** Records which version began the stream that the request resumes. */
+  void resumes(SoftwareVersion version) {
     origin = Optional.of(new StreamOrigin(Optional.of(version)));
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -54,7 +54,7 @@
   private final ServerPool pool;
   private final BackendPort backends;
   private final ResponseReader reader;
-  private final TakeUps takeUps;
+  private final StreamResumptions resumptions;
   private final CrashWatch crashes;
   private final GatewayCounters counters;
   private final Supplier<RouteTable> table;
@@ -86,7 +86,7 @@
     this.pool = pool;
     this.backends = backends;
     this.reader = new ResponseReader(pool, syncState, versions.ledger(), nanos);
-    this.takeUps = new TakeUps(versions);
+    this.resumptions = new StreamResumptions(versions);
     this.crashes = crashes;
     this.counters = counters;
     this.table = table;
@@ -107,7 +107,7 @@
     hedges.requested();
     Duration timeLeft = Duration.ofNanos(Math.max(0, request.deadline() - nanos.getAsLong()));
     return EarlyEnd.failOn(
-            takeUps.findOrigin(request, progress).thenMany(attempt(request, body, progress)),
+            resumptions.findOrigin(request, progress).thenMany(attempt(request, body, progress)),
             Mono.firstWithSignal(Mono.delay(timeLeft, timers).then(), stop.ended())
                 .then(Mono.fromSupplier(TimeoutException::new)))
         .onErrorResume(error -> finalResponse(request, progress, error));
@@ -286,7 +286,7 @@
   private Flux<ResponsePart> finalResponse(
       AdmittedRequest request, Progress progress, Throwable error) {
     if (progress.headDelivered()) {
-      TakeUps.logIfVersionGone(request, progress, error);
+      StreamResumptions.logIfVersionGone(request, progress, error);
       return Flux.error(new GatewayRefusal(Reason.ANSWER_BROKEN));
     }
     if (progress.retained().isPresent()) {
--- a/gateway/src/main/java/org/endivemux/gateway/RequestHead.java
+++ b/gateway/src/main/java/org/endivemux/gateway/RequestHead.java
@@ -18,7 +18,7 @@
  * @param maxWaitMillis how long the caller will wait
  * @param resumeAfter id of the last event of a stream that the caller has received
  * @param resumedAttempt id of the caller's attempt that brought the first event of the stream that
- *     this request takes up, if it says so
+ *     this request resumes, if it says so
  * @param forwardedHeaders headers for the backend server
  */
 public record RequestHead(
@@ -35,7 +35,7 @@
 
   /**
    * Returns the key of the request's stream, over all of the caller's attempts. A request that
-   * takes up no stream cannot name another attempt's.
+   * resumes no stream cannot name another attempt's.
    */
   StreamKey streamKey() {
     return StreamKey.of(resumedAttempt.filter(first -> resumeAfter.isPresent()).orElse(id));
--- a/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ResponseReader.java
@@ -144,7 +144,7 @@
     countOnce(request, progress, nanos.getAsLong());
   }
 
-  /** Records the version of a stream's server, for callers who take the stream up elsewhere. */
+  /** Records the version of a stream's server, for callers who resume the stream elsewhere. */
   private void recordOrigin(AdmittedRequest request, GatewayServer server) {
     server
         .version()
--- a/gateway/src/main/java/org/endivemux/gateway/TakeUps.java
+++ b/gateway/src/main/java/org/endivemux/gateway/StreamResumptions.java
@@ -11,39 +11,39 @@
 import reactor.core.publisher.Mono;
 
 /**
- * Decides at which version a stream goes on that a caller takes up with a new attempt.
+ * Decides at which version a stream goes on that a caller resumes with a new attempt.
  *
  * <p>Invariant: a stream whose version is not known is refused before anything is sent. Immutable
  * and thread-safe.
  */
-final class TakeUps {
+final class StreamResumptions {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String UNKNOWN = "unknown";
 
   private final StreamVersionLookup versions;
 
-  TakeUps(StreamVersionLookup versions) {
+  StreamResumptions(StreamVersionLookup versions) {
     this.versions = versions;
   }
 
   /**
-   * Finds which version began the stream that a request takes up, and binds its progress to it;
+   * Finds which version began the stream that a request resumes, and binds its progress to it;
    * fails with {@link GatewayRefusal} if that is not known. Does nothing for other requests.
    */
   Mono<Void> findOrigin(AdmittedRequest request, Progress progress) {
-    if (!request.isTakeUp()) {
+    if (!request.isResumption()) {
       return Mono.empty();
     }
     Optional<StreamKey> stream = request.head().resumedAttempt().map(StreamKey::of);
     return versions
         .find(request.service(), stream, request.streamLifetimeMillis())
-        .flatMap(found -> takeUp(request, progress, found));
+        .flatMap(found -> resume(request, progress, found));
   }
 
-  private static Mono<Void> takeUp(
+  private static Mono<Void> resume(
       AdmittedRequest request, Progress progress, StreamVersionFound found) {
     logger.atInfo().log(
-        "event=stream_taken_up request=%s resumes=%s after=%d software=%s source=%s",
+        "event=stream_resumption request=%s resumes=%s after=%d software=%s source=%s",
         request.head().id(),
         request.head().resumedAttempt().orElse("unnamed"),
         request.head().resumeAfter().orElse(0),
@@ -55,7 +55,7 @@
               Reason.STREAM_VERSION_UNKNOWN,
               ServerPool.retryAfterMillis(new RequestId(request.head().id()))));
     }
-    progress.takesUp(found.version().get());
+    progress.resumes(found.version().get());
     return Mono.empty();
   }
 
--- a/gateway/src/test/java/org/endivemux/gateway/TakeUpTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/StreamResumptionTest.java
@@ -22,8 +22,8 @@
 import reactor.core.publisher.Flux;
 import reactor.core.scheduler.Schedulers;
 
-/** Checks at which version a stream goes on that a caller takes up. */
-final class TakeUpTest {
+/** Checks at which version a stream goes on that a caller resumes. */
+final class StreamResumptionTest {
   private static final SoftwareVersion OLD = new SoftwareVersion("v1");
   private static final SoftwareVersion NEW = new SoftwareVersion("v2");
   private static final StreamVersionFound UNKNOWN =
@@ -83,7 +83,7 @@
         plain.forwardedHeaders());
   }
 
-  private static RequestHead takeUp(String id) {
+  private static RequestHead resume(String id) {
     return head(id, Optional.of("first"));
   }
 
@@ -94,7 +94,7 @@
     backend.then(responds(200, false, "id: 2\ndata: b\n\n"));
     StreamVersionLookup versions = Fixtures.versions(recorded(OLD));
 
-    assertThat(text(run(takeUp("second"), versions))).isEqualTo("200:id: 2\ndata: b\n\n");
+    assertThat(text(run(resume("second"), versions))).isEqualTo("200:id: 2\ndata: b\n\n");
 
     assertThat(backend.calls.get(0).server()).isEqualTo(server(3, OLD));
   }
@@ -103,7 +103,7 @@
   @Example
   void unknownVersionIsRefusedAsNotRun() {
     pool.updateServers(List.of(server(1, NEW)), 0);
-    assertThat(refusal(run(takeUp("second"), Fixtures.versions(UNKNOWN))))
+    assertThat(refusal(run(resume("second"), Fixtures.versions(UNKNOWN))))
         .isEqualTo(Reason.STREAM_VERSION_UNKNOWN);
     assertThat(backend.calls).isEmpty();
   }
@@ -112,23 +112,23 @@
   @Example
   void versionWithoutAServerIsRefusedAtOnce() {
     pool.updateServers(List.of(server(1, NEW), server(2, OLD).asLeaving()), 0);
-    assertThat(refusal(run(takeUp("second"), Fixtures.versions(recorded(OLD)))))
+    assertThat(refusal(run(resume("second"), Fixtures.versions(recorded(OLD)))))
         .isEqualTo(Reason.STREAM_VERSION_GONE);
     assertThat(backend.calls).isEmpty();
   }
 
-  /** Guards against a caller who can not begin anew after a refused take-up. */
+  /** Guards against a caller who can not begin anew after a refused resumption. */
   @Example
   void callerMayBeginAnew() {
     pool.updateServers(List.of(server(1, NEW)), 0);
     StreamVersionLookup versions = Fixtures.versions(UNKNOWN);
-    assertThat(refusal(run(takeUp("second"), versions))).isEqualTo(Reason.STREAM_VERSION_UNKNOWN);
+    assertThat(refusal(run(resume("second"), versions))).isEqualTo(Reason.STREAM_VERSION_UNKNOWN);
     backend.then(responds(200, false, "id: 1\ndata: a\n\n"));
     assertThat(text(run(head("third", Optional.empty()), versions)))
         .isEqualTo("200:id: 1\ndata: a\n\n");
   }
 
-  /** Guards against a take-up of a take-up that is not recognised as the first attempt's stream. */
+  /** Guards against a second resumption that is not known by the first attempt of its stream. */
   @Example
   void entryKnowsTheStreamsItBeganByTheirFirstAttempt() {
     pool.updateServers(List.of(server(1, OLD)), 0);
@@ -138,9 +138,9 @@
         .isEqualTo(Reason.ANSWER_BROKEN);
     pool.updateServers(List.of(server(2, NEW), server(3, OLD), server(4, OLD)), 0);
     backend.then(breaksAfter("id: 2\ndata: b\n\n")).then(ScriptedBackend::connectionReset);
-    refusal(run(takeUp("second"), versions));
+    refusal(run(resume("second"), versions));
     backend.then(responds(200, false, "id: 3\ndata: c\n\n"));
-    assertThat(text(run(takeUp("third"), versions))).isEqualTo("200:id: 3\ndata: c\n\n");
+    assertThat(text(run(resume("third"), versions))).isEqualTo("200:id: 3\ndata: c\n\n");
 
     assertThat(backend.calls).allSatisfy(call -> assertThat(call.server().version()).hasValue(OLD));
     assertThat(versions.ledger().version(RelayRuns.SERVICE, StreamKey.of("first"))).hasValue(OLD);
--- a/integration/src/test/java/org/endivemux/integration/StreamReleaseTest.java
+++ b/integration/src/test/java/org/endivemux/integration/StreamReleaseTest.java
@@ -18,7 +18,7 @@
 import org.endivemux.platform.standin.CallerStandIn;
 import org.endivemux.platform.standin.StreamingEngineStandIn;
 
-/** Takes streams up after all entries were killed, while two software versions serve. */
+/** Resumes streams after all entries were killed, while two software versions serve. */
 final class StreamReleaseTest {
   private static final int STREAMS = 16;
   private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\w+)\n\n");
@@ -46,8 +46,8 @@
     }
   }
 
-  /** What the take-up of a stream got. */
-  private record TakeUp(Stream before, int status, Stream after) {
+  /** What the resumption of a stream got. */
+  private record Resumption(Stream before, int status, Stream after) {
     boolean goesOn() {
       return status == 200 && after.last() == StreamingEngineStandIn.EVENTS;
     }
@@ -59,30 +59,30 @@
 
   /**
    * Guards against a stream that is joined from two versions after the entry that began it was
-   * lost, and against take-ups that are refused although their version serves.
+   * lost, and against resumptions that are refused although their version serves.
    */
   @Example
   void streamsGoOnAtTheirVersionAfterAllEntriesWereKilled() {
     try (GatewayFleet fleet = new GatewayFleet(2, 2)) {
-      // A stream may be taken up for twice as long, however slow the machine is.
+      // A stream may be resumed for twice as long, however slow the machine is.
       fleet.operator.streamTimeoutMillis(30_000);
       fleet.start();
       list(fleet, engine -> true);
       Await.until("both versions serve", () -> versionsServed(fleet).size() == 2);
 
       List<Stream> streams = brokenStreams(fleet);
-      List<TakeUp> takeUps = takeUp(fleet, streams);
+      List<Resumption> resumptions = resume(fleet, streams);
       list(fleet, engine -> engine.version().equals("v2"));
       Await.until("the old version has left", () -> versionsServed(fleet).equals(Set.of("v2")));
-      List<TakeUp> late = takeUp(fleet, streams);
+      List<Resumption> late = resume(fleet, streams);
 
       assertThat(streams).allMatch(it -> it.versions().size() == 1 && it.last() >= RECORDED_EVENTS);
       assertThat(streams).anyMatch(it -> it.isOf("v1")).anyMatch(it -> it.isOf("v2"));
-      assertThat(takeUps).allMatch(TakeUp::goesOn);
-      assertThat(takeUps).allMatch(it -> it.after().versions().equals(it.before().versions()));
+      assertThat(resumptions).allMatch(Resumption::goesOn);
+      assertThat(resumptions).allMatch(it -> it.after().versions().equals(it.before().versions()));
       assertThat(late)
           .allMatch(it -> it.before().isOf("v1") ? it.status() == 503 : it.goesOn())
-          .filteredOn(TakeUp::goesOn)
+          .filteredOn(Resumption::goesOn)
           .allMatch(it -> it.after().isOf("v2"));
     } finally {
       engines.forEach(StreamingEngineStandIn::close);
@@ -139,19 +139,19 @@
     return streams;
   }
 
-  private static List<TakeUp> takeUp(GatewayFleet fleet, List<Stream> streams) {
+  private static List<Resumption> resume(GatewayFleet fleet, List<Stream> streams) {
     return IntStream.range(0, streams.size())
         .parallel()
-        .mapToObj(i -> takeUp(fleet, i + 1, streams.get(i)))
+        .mapToObj(i -> resume(fleet, i + 1, streams.get(i)))
         .toList();
   }
 
-  private static TakeUp takeUp(GatewayFleet fleet, int entry, Stream stream) {
+  private static Resumption resume(GatewayFleet fleet, int entry, Stream stream) {
     String headers =
         "Resumes: " + stream.firstAttempt() + "\r\nLast-Event-Id: " + stream.last() + "\r\n";
     String text = call(fleet, entry, "again" + System.nanoTime(), headers, "no such text");
     int status = Integer.parseInt(text.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
-    return new TakeUp(stream, status, Stream.of(stream.firstAttempt(), text));
+    return new Resumption(stream, status, Stream.of(stream.firstAttempt(), text));
   }
 
   private static String call(
--- a/model/src/main/java/org/endivemux/model/gateway/StreamStarts.java
+++ b/model/src/main/java/org/endivemux/model/gateway/StreamStarts.java
@@ -7,7 +7,7 @@
 /**
  * Holds streams that servers of one version have begun. Immutable and thread-safe.
  *
- * @param lifetimeMillis how long after its start a stream may be taken up
+ * @param lifetimeMillis how long after its start a stream may be resumed
  */
 public record StreamStarts(
     ServiceName service, SoftwareVersion version, long lifetimeMillis, List<StreamKey> streams) {
