Check the bytes of heads, chunk sizes and trailers before they are decoded

Cause: the HTTP library's decoder of responses cuts a name at the first blank and takes a line without a colon for a name. The decoded fields are well-formed, so that no check of them sees the odd byte. Where a head named no request on a reused connection, it was skipped as bytes that answer no request, and the call waited for its timeout.

Change: FieldSection and ChunkedBody check the bytes of heads (those of interim responses too), of chunk sizes and of trailers, each byte once and however reads divide them, before the library decodes them. A malformed line is an error of the server: nothing of the head is passed on, the call fails at once, the connection ends. ResponseLength makes a length beside a transfer coding, and an unknown coding, an error, as RFC 9112, 6.3, advises. ResponseHeads takes a malformed head that names no request for the one in progress. Why it works: what the library decodes afterwards has only names that it cannot cut.

--- a/cli/src/test/java/org/endivemux/cli/SessionTest.java
+++ b/cli/src/test/java/org/endivemux/cli/SessionTest.java
@@ -27,6 +27,15 @@
     }
   }
 
+  /** Guards against a part of a response that ends where a malformed field says. */
+  @Example
+  void responseWithAMalformedFieldIsAnError() throws IOException {
+    String part = "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}{}";
+    try (EarlyServer server = new EarlyServer(part, End.NONE, 0)) {
+      assertThatThrownBy(() -> session(server).get("/v1/plans/p")).isInstanceOf(CliException.class);
+    }
+  }
+
   @Example
   void wholeResponsesAreRead() throws IOException {
     try (EarlyServer server = new EarlyServer(WITHOUT_LENGTH, End.AFTER_REQUEST, 0)) {
--- a/entry/src/test/java/org/endivemux/entry/EarlyResponseTest.java
+++ b/entry/src/test/java/org/endivemux/entry/FailingServerTest.java
@@ -22,8 +22,8 @@
 import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 
-/** Tests responses to requests whose bodies are still being written. */
-final class EarlyResponseTest {
+/** Tests responses of servers that fail, some of them while the request is still being written. */
+final class FailingServerTest {
   private static final Duration LIMIT = Duration.ofSeconds(10);
 
   /** More than the sockets between both ends can hold. */
@@ -51,6 +51,16 @@
         .isEqualTo(1);
   }
 
+  /** Guards against a field that the server did not send, or a body that ends where it says. */
+  @Example
+  void malformedFieldBreaksTheResponse() throws IOException {
+    String oddName = "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 4\r\n\r\npart";
+    assertThat(outcome(oddName, End.NONE, true)).isEqualTo(FAILED);
+    String blankInLength = "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\npart of a body";
+    assertThat(outcome(blankInLength, End.NONE, false)).isEqualTo(FAILED);
+    assertThat(registry.counter("backend.responseFaults.MALFORMED_LINE").getCount()).isEqualTo(2);
+  }
+
   @Example
   void wholeResponsesArePassedOn() throws IOException {
     assertThat(outcome(HEAD + "whole", End.AFTER_REQUEST, true)).isEqualTo("whole");
@@ -62,7 +72,7 @@
     BackendClient client = new BackendClient(Limits.standard(), new Counters(registry));
     try (EarlyServer server = new EarlyServer(response, end, 0)) {
       return client
-          .send(call(server.address(), isRepeatable), EarlyResponseTest::body)
+          .send(call(server.address(), isRepeatable), FailingServerTest::body)
           .last()
           .onErrorReturn(FAILED)
           .block(LIMIT);
--- a/wire/src/main/java/org/endivemux/wire/http/ResponseFault.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ResponseFault.java
@@ -16,6 +16,10 @@
   public enum Reason {
     /** The status is not three digits from 100 to 599. */
     MALFORMED_STATUS,
+    /** A line of a head, of trailers or between chunks is malformed. */
+    MALFORMED_LINE,
+    /** The fields that state the length contradict each other or name an unknown coding. */
+    AMBIGUOUS_LENGTH,
     /** The HTTP library cannot decode the response. */
     NOT_DECODABLE,
     /** Only the end of the connection can end the body, and the server did not end it in order. */
--- a/wire/src/main/java/org/endivemux/wire/http/ResponseHeads.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ResponseHeads.java
@@ -16,8 +16,8 @@
  * assumes that no header of a server quotes a status line.
  *
  * <p>Invariants: a head that was found has one status line, and each id in it is that of the
- * request. A head without an id and with a malformed status counts as the request's: a server that
- * sends it is in trouble, and nothing else may follow. Immutable and thread-safe.
+ * request. A malformed head without an id counts as the request's, be it interim or not: a server
+ * that sends it is in trouble, and nothing else may follow. Immutable and thread-safe.
  */
 final class ResponseHeads {
   /** More than a decoder of responses accepts. */
@@ -59,7 +59,7 @@
       if (end == NOT_FOUND && buffer.readableBytes() <= MAX_HEAD_BYTES) {
         return false;
       }
-      if (end != NOT_FOUND && belongsTo(request, text(buffer, last, end))) {
+      if (end != NOT_FOUND && belongsTo(request, buffer, last, end)) {
         return true;
       }
       buffer.readerIndex(next);
@@ -70,14 +70,21 @@
     return false;
   }
 
-  private boolean belongsTo(Optional<String> request, String head) {
-    if (INTERIM_STATUS.matcher(head).region(STATUS_INDEX, head.length()).lookingAt()) {
-      return false;
-    }
+  private boolean belongsTo(Optional<String> request, ByteBuf buffer, int from, int to) {
+    String head = text(buffer, from, to);
     Set<String> named =
         idHeader.matcher(head).results().map(id -> id.group(1).strip()).collect(Collectors.toSet());
-    boolean isUnnamedFailure = named.isEmpty() && !ResponseStatus.isValid(status(head));
-    return isUnnamedFailure || named.equals(request.map(Set::of).orElse(Set.of()));
+    boolean isNamed = named.equals(request.map(Set::of).orElse(Set.of()));
+    if (isNamed && !isInterim(head)) {
+      return true;
+    }
+    boolean isMalformed =
+        !ResponseStatus.isValid(status(head)) || !FieldSection.isHead(buffer, from, to);
+    return isMalformed && (isNamed || named.isEmpty());
+  }
+
+  private static boolean isInterim(String head) {
+    return INTERIM_STATUS.matcher(head).region(STATUS_INDEX, head.length()).lookingAt();
   }
 
   private static String status(String head) {
--- a/wire/src/main/java/org/endivemux/wire/http/StrictResponseDecoder.java
+++ b/wire/src/main/java/org/endivemux/wire/http/StrictResponseDecoder.java
@@ -6,28 +6,36 @@
 import io.netty.handler.codec.DecoderResultProvider;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import org.endivemux.wire.http.ResponseFault.Reason;
 import reactor.netty.Connection;
 
 /**
- * Decodes responses and refuses those whose status is malformed or whose end is uncertain.
+ * Decodes responses and refuses those whose fields or whose end are uncertain.
  *
- * <p>Invariants: a response with a malformed status is an error that ends its connection, and its
- * head is not passed on. A body that only the end of its connection ends is complete only if the
- * server ended the connection in order, which shows as the end of what can be read, and after the
- * whole request had been written. Before that the server may have failed with the request, and with
- * a reset that is met by a write the rest of the response is lost. After any other end of the
- * connection no end of the body is passed on.
+ * <p>Invariants: a response with a malformed status or line, or with an ambiguous length, is an
+ * error that ends its connection, and its head is not passed on. A body that only the end of its
+ * connection ends is complete only if the server ended the connection in order, which shows as the
+ * end of what can be read, and after the whole request had been written. Before that the server may
+ * have failed with the request, and with a reset that is met by a write the rest of the response is
+ * lost. After any other end of the connection no end of the body is passed on.
  *
  * <p>The channel must allow half-closure: without it, the end that the server made looks like any
  * other. Confined to the connection's event loop.
  */
 abstract class StrictResponseDecoder extends HttpResponseDecoder {
+  private FieldSection head = FieldSection.ofHead();
+  private Optional<ChunkedBody> chunks = Optional.empty();
+
+  /** How many bytes from the reader index on have been checked and not been decoded. */
+  private int checkedBytes;
+
   /** Whether a body is in progress that only the end of the connection ends. */
   private boolean endsWithConnection;
 
@@ -80,7 +88,10 @@
   final List<Object> decodeNext(ChannelHandlerContext context, ByteBuf buffer) throws Exception {
     List<Object> messages = new ArrayList<>();
     try {
+      checkBytes(buffer);
+      int before = buffer.readableBytes();
       super.decode(context, buffer, messages);
+      checkedBytes = Math.max(0, checkedBytes - (before - buffer.readableBytes()));
       checkMessages(messages);
       return messages;
     } catch (ResponseFaultException e) {
@@ -93,6 +104,17 @@
     return List.of();
   }
 
+  private void checkBytes(ByteBuf buffer) {
+    int from = buffer.readerIndex() + checkedBytes;
+    int to = buffer.writerIndex();
+    int end = head.isAtEnd() ? checkChunks(buffer, from, to) : head.check(buffer, from, to);
+    checkedBytes = end - buffer.readerIndex();
+  }
+
+  private int checkChunks(ByteBuf buffer, int from, int to) {
+    return chunks.map(body -> body.check(buffer, from, to)).orElse(from);
+  }
+
   private void checkMessages(List<Object> messages) {
     messages.stream()
         .filter(DecoderResultProvider.class::isInstance)
@@ -116,10 +138,18 @@
   }
 
   private void bodyStarted(HttpMessage response) {
+    ResponseLength.check(response);
     endsWithConnection = ResponseLength.endsWithConnection(response);
+    chunks =
+        HttpUtil.isTransferEncodingChunked(response)
+            ? Optional.of(new ChunkedBody())
+            : Optional.empty();
   }
 
   private void responseEnded() {
+    head = FieldSection.ofHead();
+    chunks = Optional.empty();
+    checkedBytes = 0;
     endsWithConnection = false;
   }
 
@@ -132,6 +162,11 @@
     return super.createMessage(statusLine);
   }
 
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw ResponseLength.lengthBesideCoding();
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) throws Exception {
     isConnectionBroken = true;
