Keep the early server among the tests of wire

Cause: EarlyServer, which the tests of four modules use, stood in the module testing, which no layer may use.

Change: EarlyServer is in the test jar of wire, which those modules may use. The three copies of a call to one server in the tests of entry are one, TestCalls.

Measured: LayersTest green; the tests of entry, cli and platform that use both, green.

--- a/cli/src/test/java/org/endivemux/cli/SessionTest.java
+++ b/cli/src/test/java/org/endivemux/cli/SessionTest.java
@@ -8,8 +8,8 @@
 import java.util.Map;
 import java.util.Optional;
 import net.jqwik.api.Example;
-import org.endivemux.testing.EarlyServer;
-import org.endivemux.testing.EarlyServer.End;
+import org.endivemux.wire.http.EarlyServer;
+import org.endivemux.wire.http.EarlyServer.End;
 
 /** Tests which responses of a VM the command line takes for whole. */
 final class SessionTest {
--- a/entry/src/test/java/org/endivemux/entry/BackendClientTest.java
+++ b/entry/src/test/java/org/endivemux/entry/BackendClientTest.java
@@ -4,8 +4,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -13,12 +11,6 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
-import org.endivemux.model.BackendServerId;
-import org.endivemux.model.Declaration.BackendServer;
-import org.endivemux.model.FailureDomain;
-import org.endivemux.model.RequestId;
-import org.endivemux.model.ServerKind;
-import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -117,23 +109,7 @@
   private static BackendClient.Call call(
       DisposableServer server, String id, byte[] body, boolean repeatable) {
     String address = "127.0.0.1:" + ((InetSocketAddress) server.address()).getPort();
-    return new BackendClient.Call(
-        new RequestId(id),
-        new BackendServer(
-            new BackendServerId("b-1"),
-            address,
-            new FailureDomain("d0"),
-            ServerKind.STEADY,
-            List.of("till"),
-            1,
-            0,
-            false),
-        HttpMethod.POST,
-        "/",
-        new DefaultHttpHeaders(),
-        body,
-        repeatable,
-        new SendMarker());
+    return TestCalls.call(address, id, body, repeatable);
   }
 
   private static Limits limits() {
--- a/entry/src/test/java/org/endivemux/entry/FailingServerTest.java
+++ b/entry/src/test/java/org/endivemux/entry/FailingServerTest.java
@@ -3,23 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.endivemux.model.BackendServerId;
-import org.endivemux.model.Declaration.BackendServer;
-import org.endivemux.model.FailureDomain;
-import org.endivemux.model.RequestId;
-import org.endivemux.model.ServerKind;
-import org.endivemux.testing.EarlyServer;
-import org.endivemux.testing.EarlyServer.End;
-import org.endivemux.wire.SendMarker;
+import org.endivemux.wire.http.EarlyServer;
+import org.endivemux.wire.http.EarlyServer.End;
 import reactor.core.publisher.Flux;
 
 /** Tests responses of servers that fail, some of them while the request is still being written. */
@@ -72,7 +63,9 @@
     BackendClient client = new BackendClient(Limits.standard(), new Counters(registry));
     try (EarlyServer server = new EarlyServer(response, end, 0)) {
       return client
-          .send(call(server.address(), isRepeatable), FailingServerTest::body)
+          .send(
+              TestCalls.call(server.address(), "upload", BODY, isRepeatable),
+              FailingServerTest::body)
           .last()
           .onErrorReturn(FAILED)
           .block(LIMIT);
@@ -86,24 +79,4 @@
         .reduce("", String::concat)
         .flux();
   }
-
-  private static BackendClient.Call call(String address, boolean isRepeatable) {
-    return new BackendClient.Call(
-        new RequestId("upload"),
-        new BackendServer(
-            new BackendServerId("b-1"),
-            address,
-            new FailureDomain("d0"),
-            ServerKind.STEADY,
-            List.of("till"),
-            1,
-            0,
-            false),
-        HttpMethod.POST,
-        "/",
-        new DefaultHttpHeaders(),
-        BODY,
-        isRepeatable,
-        new SendMarker());
-  }
 }
--- a/entry/src/test/java/org/endivemux/entry/InterimResponseTest.java
+++ b/entry/src/test/java/org/endivemux/entry/InterimResponseTest.java
@@ -3,20 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.codahale.metrics.MetricRegistry;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import net.jqwik.api.Example;
-import org.endivemux.model.BackendServerId;
-import org.endivemux.model.Declaration.BackendServer;
-import org.endivemux.model.FailureDomain;
-import org.endivemux.model.RequestId;
-import org.endivemux.model.ServerKind;
-import org.endivemux.wire.SendMarker;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
@@ -99,23 +91,7 @@
 
   private static BackendClient.Call callTo(DisposableServer server, int call) {
     String address = "127.0.0.1:" + ((InetSocketAddress) server.address()).getPort();
-    return new BackendClient.Call(
-        new RequestId("call-" + call),
-        new BackendServer(
-            new BackendServerId("b-1"),
-            address,
-            new FailureDomain("d0"),
-            ServerKind.STEADY,
-            List.of("till"),
-            1,
-            0,
-            false),
-        HttpMethod.GET,
-        "/",
-        new DefaultHttpHeaders(),
-        new byte[0],
-        true,
-        new SendMarker());
+    return TestCalls.call(address, "call-" + call, new byte[0], true);
   }
 
   private static String response(int status, int call) {
--- a/testing/src/main/java/org/endivemux/testing/EarlyServer.java
+++ b/wire/src/test/java/org/endivemux/wire/http/EarlyServer.java
@@ -1,4 +1,4 @@
-package org.endivemux.testing;
+package org.endivemux.wire.http;
 
 import java.io.IOException;
 import java.io.InputStream;
