--- a/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
+++ b/control/src/main/java/org/endivemux/control/voter/PlatformHttp.java
@@ -1,17 +1,13 @@
 package org.endivemux.control.voter;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.channel.ChannelOption;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.endivemux.control.ControlException;
 import org.endivemux.wire.BoundedBytes;
 import org.endivemux.wire.http.ExchangeCodec;
-import org.endivemux.wire.http.ExchangeListener;
-import org.endivemux.wire.http.ResponseFault;
-import org.endivemux.wire.http.StrayBytes;
+import org.endivemux.wire.http.FaultLog;
 import reactor.core.publisher.Mono;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
@@ -25,7 +21,9 @@
  * thread-safe.
  */
 public final class PlatformHttp {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  /** Counts nothing, since each fault fails a call, which is counted. */
+  private static final FaultLog FAULT_LOG = new FaultLog("platform_", bytes -> {}, reason -> {});
+
   private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
   /** Far more than a page of the list of backend servers needs. */
@@ -45,7 +43,7 @@
   /** Returns a client that sends each call once and waits for its response up to a timeout. */
   public static HttpClient client(String address, Duration timeout) {
     HttpClient client = HttpClient.create(ConnectionProvider.newConnection());
-    return ExchangeCodec.installWithoutIds(client, new FaultLog())
+    return ExchangeCodec.installWithoutIds(client, FAULT_LOG)
         .baseUrl("http://" + address)
         .disableRetry(true)
         .followRedirect(false)
@@ -60,18 +58,4 @@
             connection ->
                 connection.channel().pipeline().addFirst("leaseGate", new LeaseGate(holdsLease)));
   }
-
-  /** Logs what the platform does wrong; the calls that it harms fail. Stateless and thread-safe. */
-  private static final class FaultLog implements ExchangeListener {
-    @Override
-    public void strayBytes(StrayBytes bytes) {
-      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-          "event=platform_stray_bytes %s", bytes.logFields());
-    }
-
-    @Override
-    public void responseFault(ResponseFault fault) {
-      logger.atWarning().log("event=platform_response_fault %s", fault.logFields());
-    }
-  }
 }
--- a/entry/src/main/java/org/endivemux/entry/BackendClient.java
+++ b/entry/src/main/java/org/endivemux/entry/BackendClient.java
@@ -1,6 +1,5 @@
 package org.endivemux.entry;
 
-import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -8,16 +7,13 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.endivemux.model.Declaration.BackendServer;
 import org.endivemux.model.RequestId;
 import org.endivemux.wire.FirstByteTimeout;
 import org.endivemux.wire.SendGate;
 import org.endivemux.wire.SendMarker;
 import org.endivemux.wire.http.ExchangeCodec;
-import org.endivemux.wire.http.ExchangeListener;
-import org.endivemux.wire.http.ResponseFault;
-import org.endivemux.wire.http.StrayBytes;
+import org.endivemux.wire.http.FaultLog;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.netty.http.client.HttpClient;
@@ -33,7 +29,6 @@
  * an error. Thread-safe.
  */
 final class BackendClient {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int MAX_CONNECTIONS = 20_000;
   private static final Duration MAX_IDLE = Duration.ofSeconds(5);
 
@@ -45,18 +40,19 @@
   BackendClient(Limits limits, Counters counters) {
     this.limits = limits;
     this.counters = counters;
+    FaultLog faultLog = new FaultLog("", counters::strayBytes, counters::responseFault);
     ConnectionProvider pool =
         ConnectionProvider.builder("backend")
             .maxConnections(MAX_CONNECTIONS)
             .maxIdleTime(MAX_IDLE)
             .lifo()
             .build();
-    this.pooled = configure(HttpClient.create(pool));
-    this.unpooled = configure(HttpClient.create(ConnectionProvider.newConnection()));
+    this.pooled = configure(HttpClient.create(pool), faultLog);
+    this.unpooled = configure(HttpClient.create(ConnectionProvider.newConnection()), faultLog);
   }
 
-  private HttpClient configure(HttpClient client) {
-    return ExchangeCodec.install(client, Exchange.REQUEST_ID, new FaultLog())
+  private HttpClient configure(HttpClient client, FaultLog faultLog) {
+    return ExchangeCodec.install(client, Exchange.REQUEST_ID, faultLog)
         .disableRetry(true)
         .followRedirect(false)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) limits.connect().toMillis())
@@ -128,20 +124,4 @@
       super("The backend server's response belongs to another request.");
     }
   }
-
-  /** Counts and logs what backend servers do wrong. */
-  private final class FaultLog implements ExchangeListener {
-    @Override
-    public void strayBytes(StrayBytes bytes) {
-      counters.strayBytes(bytes.count());
-      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
-          "event=stray_bytes %s", bytes.logFields());
-    }
-
-    @Override
-    public void responseFault(ResponseFault fault) {
-      counters.responseFault(fault.reason());
-      logger.atWarning().log("event=response_fault %s", fault.logFields());
-    }
-  }
 }
