Test resumptions at an entry that stood still during a release

Why it does not happen, by reading: an entry never concludes a version from its own list. It asks a leader that holds the lease, before and after the read; that one has committed a new version before any entry can have it in its list; an entry that reads the platform's list itself leaves new versions out; without an answer in 700 ms the resumption is refused as not run; a known version without a server in the entry's old list is refused too.

Test with real processes: an entry is stopped, servers of a second version join, sixteen streams begin at the other entry, resumptions wait in the stopped entry's socket until it goes on. Each is refused or has one version; later all go on at their version. An entry that is cut off instead, with a leader that does not answer: StreamResumptionTest has the refusal.

--- a/integration/src/test/java/org/endivemux/integration/StreamReleaseTest.java
+++ b/integration/src/test/java/org/endivemux/integration/StreamReleaseTest.java
@@ -18,9 +18,10 @@
 import org.endivemux.platform.standin.CallerStandIn;
 import org.endivemux.platform.standin.StreamingEngineStandIn;
 
-/** Resumes streams after all entries were killed, while two software versions serve. */
+/** Resumes streams at entries that were killed or stood still, while two versions serve. */
 final class StreamReleaseTest {
   private static final int STREAMS = 16;
+  private static final int PROBES = 12;
   private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\w+)\n\n");
 
   private static final Pattern EVENT_VERSION = Pattern.compile("data: (v\\d)");
@@ -48,6 +49,12 @@
 
   /** What the resumption of a stream got. */
   private record Resumption(Stream before, int status, Stream after) {
+    static Resumption of(Stream before, String received) {
+      String status = received.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length());
+      return new Resumption(
+          before, Integer.parseInt(status), Stream.of(before.firstAttempt(), received));
+    }
+
     boolean goesOn() {
       return status == 200 && after.last() == StreamingEngineStandIn.EVENTS;
     }
@@ -89,6 +96,68 @@
     }
   }
 
+  /**
+   * Guards against a stream of a new version that goes on at an old one, since the entry that
+   * resumes it stood still while the new version joined.
+   */
+  @Example
+  void streamsGoOnAtTheirVersionAtAnEntryThatStoodStill() {
+    try (GatewayFleet fleet = new GatewayFleet(2, 2)) {
+      fleet.operator.streamTimeoutMillis(30_000);
+      fleet.start();
+      list(fleet, engine -> engine.version().equals("v1"));
+      Await.until("the old version serves", () -> versionsServed(fleet).equals(Set.of("v1")));
+
+      fleet.entries.get(1).freeze();
+      list(fleet, engine -> true);
+      Await.until("the new version serves", () -> versionsServedAt(fleet, 0).size() == 2);
+      List<Stream> streams = abandonedStreams(fleet, 0);
+      List<RawCall> calls =
+          streams.stream().map(it -> sendResumption(fleet, 1, it)).collect(Collectors.toList());
+      fleet.entries.get(1).thaw();
+      List<Resumption> resumptions = read(streams, calls);
+      Await.until("the entry is in contact", () -> versionsServedAt(fleet, 1).size() == 2);
+      List<Resumption> late = streams.parallelStream().map(it -> resume(fleet, 1, it)).toList();
+
+      assertThat(streams).anyMatch(it -> it.isOf("v1")).anyMatch(it -> it.isOf("v2"));
+      assertThat(resumptions)
+          .allMatch(
+              it -> it.status() == 503 || it.after().versions().equals(it.before().versions()));
+      assertThat(late)
+          .allMatch(Resumption::goesOn)
+          .allMatch(it -> it.after().versions().equals(it.before().versions()));
+    } finally {
+      engines.forEach(StreamingEngineStandIn::close);
+    }
+  }
+
+  /** Begins streams at an entry; their callers leave early or late in their streams. */
+  private static List<Stream> abandonedStreams(GatewayFleet fleet, int entry) {
+    return IntStream.range(0, STREAMS)
+        .parallel()
+        .mapToObj(
+            i -> {
+              String attempt = "abandoned" + i;
+              int events = i % 2 == 0 ? 2 : RECORDED_EVENTS;
+              String text = call(fleet, entry, attempt, "", "id: " + events + "\n");
+              return Stream.of(attempt, text);
+            })
+        .toList();
+  }
+
+  private static List<Resumption> read(List<Stream> streams, List<RawCall> calls) {
+    return IntStream.range(0, streams.size())
+        .parallel()
+        .mapToObj(i -> read(streams.get(i), calls.get(i)))
+        .toList();
+  }
+
+  private static Resumption read(Stream stream, RawCall call) {
+    try (call) {
+      return Resumption.of(stream, call.readUntil("no such text"));
+    }
+  }
+
   private void list(GatewayFleet fleet, Predicate<StreamingEngineStandIn> isListed) {
     fleet.platform.updateServers(
         engines.stream().filter(isListed).map(engine -> engine.listItem("llm", "d0")).toList());
@@ -96,8 +165,16 @@
 
   /** Returns the versions that some new streams get. */
   private static Set<String> versionsServed(GatewayFleet fleet) {
-    return IntStream.range(0, 8)
-        .mapToObj(i -> call(fleet, i, "probe" + System.nanoTime(), "", "\n\nid: 2"))
+    return IntStream.range(0, fleet.entries.size())
+        .mapToObj(entry -> versionsServedAt(fleet, entry))
+        .flatMap(Set::stream)
+        .collect(Collectors.toSet());
+  }
+
+  private static Set<String> versionsServedAt(GatewayFleet fleet, int entry) {
+    return IntStream.range(0, PROBES)
+        .parallel()
+        .mapToObj(i -> call(fleet, entry, "probe" + System.nanoTime(), "", "\n\nid: 2"))
         .flatMap(text -> EVENT_VERSION.matcher(text).results())
         .map(version -> version.group(1))
         .collect(Collectors.toSet());
@@ -147,11 +224,13 @@
   }
 
   private static Resumption resume(GatewayFleet fleet, int entry, Stream stream) {
+    return read(stream, sendResumption(fleet, entry, stream));
+  }
+
+  private static RawCall sendResumption(GatewayFleet fleet, int entry, Stream stream) {
     String headers =
         "Resumes: " + stream.firstAttempt() + "\r\nLast-Event-Id: " + stream.last() + "\r\n";
-    String text = call(fleet, entry, "again" + System.nanoTime(), headers, "no such text");
-    int status = Integer.parseInt(text.substring("HTTP/1.1 ".length(), "HTTP/1.1 200".length()));
-    return new Resumption(stream, status, Stream.of(stream.firstAttempt(), text));
+    return send(fleet, entry, "again" + System.nanoTime(), headers);
   }
 
   private static String call(
