Break a share of the answers in the soak; keep the proxy's bytes whole

The soak breaks 3 in 100 answers of healthy servers during the faults.

FaultProxy: it passed a reset on as an orderly end, which makes a part without a length whole; a direction that had been silent went on in the middle of a frame; bytes behind delayed ones overtook them.

--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.endivemux.platform.standin.BrokenAnswer;
 import org.endivemux.platform.standin.EngineStandIn;
 import org.endivemux.platform.standin.InvariantChecker;
 import org.endivemux.platform.standin.OperatorStandIn;
@@ -52,6 +53,8 @@
   final Path logs = createFolder();
   private final String network =
       "127." + (FIRST_NETWORK + PortRange.number()) + "." + NEXT_NETWORK.getAndIncrement() + ".";
+  private List<BrokenAnswer> brokenAnswers = List.of();
+  private int brokenPercent;
   private int enginesStarted;
   private int engineAddressOffset;
 
@@ -110,11 +113,21 @@
 
   private EngineStandIn startEngine(int index) {
     enginesStarted++;
-    return new EngineStandIn(
-        "i-" + enginesStarted,
-        version(enginesStarted),
-        at(50 + index + REAL_ADDRESS_OFFSET, ENGINE_PORT),
-        witness);
+    EngineStandIn engine =
+        new EngineStandIn(
+            "i-" + enginesStarted,
+            version(enginesStarted),
+            at(50 + index + REAL_ADDRESS_OFFSET, ENGINE_PORT),
+            witness);
+    engine.breakAnswers(brokenAnswers, brokenPercent);
+    return engine;
+  }
+
+  /** Lets all backend servers, later ones too, break a share of their answers in the given ways. */
+  void breakAnswers(List<BrokenAnswer> kinds, int percent) {
+    brokenAnswers = kinds;
+    brokenPercent = percent;
+    engines.forEach(engine -> engine.breakAnswers(kinds, percent));
   }
 
   /** Returns the version of a backend server; some of those that replace others have a new one. */
--- a/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.endivemux.platform.standin.BrokenAnswer;
 import org.endivemux.platform.standin.CallerStandIn;
 import org.endivemux.platform.standin.EngineStandIn;
 import org.endivemux.platform.standin.RouteKind;
@@ -36,6 +37,12 @@
   /** Number of sales after the faults, while servers answer twice. */
   private static final int LAST_SALES = 60;
 
+  /** Share of answers that servers break during the faults, in any way. */
+  private static final int BROKEN_PERCENT = 3;
+
+  /** One request of so many is an upload. */
+  private static final int REQUESTS_PER_UPLOAD = 12;
+
   private static final int MIN_STEP_MILLIS = 200;
   private static final int STEP_SPREAD_MILLIS = 900;
 
@@ -62,6 +69,7 @@
   List<String> run() {
     try (fleet) {
       fleet.start();
+      fleet.breakAnswers(List.of(BrokenAnswer.values()), BROKEN_PERCENT);
       List<Thread> clients = startClients();
       IntStream.range(0, steps).forEach(step -> runStep());
       heal();
@@ -115,7 +123,11 @@
       while (!stopped) {
         RouteKind kind = KINDS.get(choices.nextInt(KINDS.size()));
         Vm target = fleet.entries.get(entry % ENTRIES);
-        if (!caller.call(fleet.callersAddress(target), kind).isServed()) {
+        String address = fleet.callersAddress(target);
+        boolean isUpload = choices.nextInt(REQUESTS_PER_UPLOAD) == 0;
+        CallerStandIn.Outcome outcome =
+            isUpload ? caller.upload(address, kind) : caller.call(address, kind);
+        if (!outcome.isServed()) {
           entry++;
         }
         pause(5 + choices.nextInt(30));
@@ -157,6 +169,7 @@
   }
 
   private void heal() {
+    fleet.breakAnswers(List.of(), 0);
     recoveries.forEach(Runnable::run);
     recoveries.clear();
     Stream.of(fleet.peerProxies, fleet.engineProxies)
--- a/testing/src/main/java/org/endivemux/testing/FaultProxy.java
+++ b/testing/src/main/java/org/endivemux/testing/FaultProxy.java
@@ -4,6 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -22,8 +24,10 @@
 /**
  * Forwards TCP connections and injects faults.
  *
- * <p>The bytes of one connection keep their order. A packet loss appears as a stall, as it does to
- * users of TCP. Thread-safe.
+ * <p>The bytes of one connection keep their order and have no gaps, also when the mode or the delay
+ * changes: a direction that has discarded bytes stays silent. A packet loss appears as a stall, as
+ * it does to users of TCP. An end that one side makes in order is passed on in order, and any other
+ * end as a reset. Thread-safe.
  */
 public final class FaultProxy implements AutoCloseable {
   /** Lists how the proxy treats connections and their bytes. */
@@ -63,6 +67,7 @@
     this.server =
         TcpServer.create()
             .bindAddress(() -> address)
+            .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .doOnConnection(this::accept)
             .handle((in, out) -> Mono.never())
             .bindNow();
@@ -101,6 +106,7 @@
     }
     TcpClient.newConnection()
         .remoteAddress(() -> target)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .connect()
         .subscribe(
             outgoing -> new Pipe(channel, outgoing.channel()).start(), error -> close(channel));
@@ -110,9 +116,21 @@
     var unused = channel.close();
   }
 
-  /** Closes the present connections; new ones work. */
+  private static void reset(Channel channel) {
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                close(channel);
+              }
+            });
+  }
+
+  /** Resets the present connections; new ones work. */
   public void resetPresentConnections() {
-    pipes.forEach(Pipe::close);
+    pipes.forEach(Pipe::reset);
   }
 
   /** Returns the port to connect to. */
@@ -160,10 +178,26 @@
       FaultProxy.close(outgoing);
     }
 
-    /** Closes both ends, unless a silent mode hides that one of them was closed. */
-    void onClosed(boolean towardsTarget) {
-      if (!drops(towardsTarget)) {
-        close();
+    void reset() {
+      pipes.remove(this);
+      FaultProxy.reset(incoming);
+      FaultProxy.reset(outgoing);
+    }
+
+    /**
+     * Closes the other end after one of them was closed, unless a silent mode hides that.
+     *
+     * @param isInOrder whether the end was closed in order; otherwise the other one is reset
+     */
+    void onClosed(boolean towardsTarget, boolean isInOrder) {
+      if (drops(towardsTarget) || !pipes.remove(this)) {
+        return;
+      }
+      Channel other = towardsTarget ? outgoing : incoming;
+      if (isInOrder) {
+        FaultProxy.close(other);
+      } else {
+        FaultProxy.reset(other);
       }
     }
   }
@@ -175,6 +209,9 @@
     private final boolean towardsTarget;
     private final Deque<ByteBuf> delayed = new ArrayDeque<>();
     private long lastDueNanos;
+    private boolean hasDropped;
+    private boolean isBroken;
+    private boolean hasEnded;
 
     Relay(Pipe pipe, Channel to, boolean towardsTarget) {
       this.pipe = pipe;
@@ -184,9 +221,9 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      if (pipe.drops(towardsTarget)) {
+      if (drops()) {
         ReferenceCountUtil.release(message);
-      } else if (delayMillis == 0) {
+      } else if (delayMillis == 0 && delayed.isEmpty()) {
         write((ByteBuf) message);
       } else {
         delay(context, (ByteBuf) message);
@@ -211,20 +248,41 @@
 
     private void writeNext() {
       ByteBuf bytes = delayed.removeFirst();
-      if (pipe.drops(towardsTarget)) {
+      if (drops()) {
         bytes.release();
       } else {
         write(bytes);
       }
     }
 
+    /** Returns whether bytes are discarded; from the first one on all of this direction are. */
+    private boolean drops() {
+      hasDropped = hasDropped || pipe.drops(towardsTarget);
+      return hasDropped;
+    }
+
     private void write(ByteBuf bytes) {
       var unused = to.writeAndFlush(bytes);
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        hasEnded = !isBroken && !hasDropped && delayed.isEmpty();
+        FaultProxy.close(context.channel());
+      }
+      context.fireUserEventTriggered(event);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      isBroken = true;
+      context.fireExceptionCaught(cause);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      pipe.onClosed(towardsTarget);
+      pipe.onClosed(towardsTarget, hasEnded);
       context.fireChannelInactive();
     }
   }
