--- a/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ExchangeCodec.java
@@ -75,6 +75,7 @@
    * Returns a client that uses this codec on all its connections.
    *
    * @param idHeader name of the header in which a request and its response have the request's id
+   * @param listener is told what servers do wrong
    */
   public static HttpClient install(HttpClient client, String idHeader, ExchangeListener listener) {
     return client
--- a/wire/src/main/java/org/endivemux/wire/http/StrictResponseDecoder.java
+++ b/wire/src/main/java/org/endivemux/wire/http/StrictResponseDecoder.java
@@ -58,7 +58,11 @@
     isRequestWritten = true;
   }
 
-  /** Called before this side closes the channel. */
+  /**
+   * Called before this side closes the channel.
+   *
+   * @param isActive whether the channel is still open; after a failed write it is not
+   */
   final void closing(boolean isActive) {
     isClosedHere = isClosedHere || (isActive && !isConnectionBroken);
   }
