--- a/wire/src/main/java/org/endivemux/wire/http/ChunkedBody.java
+++ b/wire/src/main/java/org/endivemux/wire/http/ChunkedBody.java
@@ -9,7 +9,7 @@
  * the stated sizes and well-formed trailers. The data is skipped. Not thread-safe.
  */
 final class ChunkedBody {
-  /** As many as a positive long has. */
+  /** Any number of so many digits is a positive long. */
   private static final int MAX_SIZE_DIGITS = 15;
 
   private static final int HEXADECIMAL = 16;
