--- a/review/lib-2/Lab.java
+++ b/review/lib-2/Lab.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Properties;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -56,6 +57,10 @@
   private final String network;
   private final Path folder;
   private final long startedAt = System.nanoTime();
+  private int nextVoter;
+
+  /** Name of the file with the configuration. */
+  String config = "config.json";
   private final PrintWriter record;
 
   Lab(Path recordFile, int voterCount, int entryCount) throws IOException {
@@ -67,6 +72,7 @@
     for (int i = 0; i < voterCount; i++) {
       voters.add(new Vm("voter" + i, "voter", FIRST_VOTER + i));
     }
+    this.nextVoter = voterCount;
     for (int i = 0; i < entryCount; i++) {
       entries.add(new Vm("entry" + i, "entry", FIRST_ENTRY + i));
     }
@@ -150,7 +156,7 @@
   /** Sends a configuration to the voters in turn, as operators do, until one acknowledges it. */
   boolean put(long version, long limitMillis) throws IOException {
     String text =
-        Files.readString(Path.of("review/lib-2/config.json")).replace("@VERSION@", "" + version);
+        Files.readString(Path.of("review/lib-2/" + config)).replace("@VERSION@", "" + version);
     long end = System.nanoTime() + Duration.ofMillis(limitMillis).toNanos();
     for (int turn = 0; System.nanoTime() < end; turn++) {
       Vm voter = voters.get(turn % voters.size());
@@ -179,6 +185,49 @@
     return false;
   }
 
+  /** Removes a voter for good: its process is killed, and its disk is not used again. */
+  void remove(Vm voter) {
+    voter.end();
+    voters.remove(voter);
+    note(voter.name + " was killed and is gone for good");
+  }
+
+  /** Adds a voter with an empty disk at a new address. */
+  void addVoter() throws IOException {
+    Vm added = new Vm("voter" + nextVoter, "voter", FIRST_VOTER + nextVoter);
+    nextVoter++;
+    voters.add(added);
+    added.start(false);
+  }
+
+  /** Returns the voter that says that it leads, if there is one. */
+  Optional<Vm> leader() {
+    return voters.stream().filter(it -> text(it, "/metrics").matches("(?s).*leads[^\\n]* 1(\\.0)?\\n.*")).findFirst();
+  }
+
+  /** Returns the version that a voter reads back; 0 if it does not answer with one. */
+  long version(Vm voter) {
+    Matcher found = Pattern.compile("\"version\":(\\d+)").matcher(text(voter, name("get")));
+    return found.find() ? Long.parseLong(found.group(1)) : 0;
+  }
+
+  private String text(Vm voter, String path) {
+    try {
+      HttpResponse<String> response =
+          HTTP.send(
+              HttpRequest.newBuilder(
+                      URI.create("http://" + host(voter.number) + ":" + OPERATOR_PORT + path))
+                  .timeout(Duration.ofSeconds(2))
+                  .build(),
+              HttpResponse.BodyHandlers.ofString());
+      return response.statusCode() == 200 ? response.body() : "";
+    } catch (IOException e) {
+      return "";
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   @Override
   public void close() {
     all().forEach(Vm::end);
@@ -237,7 +286,10 @@
       values.put("internalPorts.0", "" + PEER_PORT);
       values.put(
           "seeds",
-          voters.stream().limit(3).map(it -> quoted(host(it.number) + ":" + OPERATOR_PORT)).toList()
+          voters.stream()
+              .limit(3)
+              .map(it -> quoted(host(it.number) + ":" + OPERATOR_PORT))
+              .toList()
               .toString());
       values.put("bootstrap", "" + first);
       values.put("dataDir", isVoter ? quoted(folder.resolve(name).toString()) : "null");
