--- a/review/lib-2/PlatformStandIn.java
+++ b/review/lib-2/PlatformStandIn.java
@@ -26,11 +26,18 @@
   }
 
   void add(String id, String service, String address, int slots) {
+    add(id, service, address, slots, "v1");
+  }
+
+  /** Lists a server in place of an earlier entry with its id. */
+  void add(String id, String service, String address, int slots, String version) {
+    servers.removeIf(it -> it.contains("\"" + id + "\""));
     servers.add(
         item.replace("@ID@", id)
             .replace("@SERVICE@", service)
             .replace("@ADDRESS@", address)
-            .replace("@SLOTS@", "" + slots));
+            .replace("@SLOTS@", "" + slots)
+            .replace("@SOFTWARE@", version));
   }
 
   private void answer(HttpExchange exchange) throws IOException {
--- a/review/lib-2/ServerStandIn.java
+++ b/review/lib-2/ServerStandIn.java
@@ -7,7 +7,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -19,6 +21,7 @@
   final AtomicInteger requests = new AtomicInteger();
   private final ServerSocket listener = new ServerSocket();
   private final Behaviour behaviour;
+  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
   /** Answers requests. */
   @FunctionalInterface
@@ -50,6 +53,7 @@
       while (true) {
         Socket socket = listener.accept();
         socket.setTcpNoDelay(true);
+        sockets.add(socket);
         daemon(() -> serve(socket));
       }
     } catch (IOException e) {
@@ -97,8 +101,12 @@
     return text.getBytes(StandardCharsets.ISO_8859_1);
   }
 
+  /** Stops as a process that ends: the port refuses connections, and open ones are closed. */
   @Override
   public void close() throws IOException {
     listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
   }
 }
