--- a/review/6/Replacements.java
+++ b/review/6/Replacements.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Optional;
 
 /**
  * Four voters of five are lost for good one after the other, each replaced by an empty one before the
@@ -9,10 +10,15 @@
   private static final int VOTERS = 5;
   private static final int REPLACEMENTS = 4;
 
-  /** A second until the empty machine is there, and the time until the lost one stops counting. */
   private static final int SUCCESSOR_MILLIS = 1000;
 
-  private static final int INTERVAL_MILLIS = 8000;
+  /** A lost machine counts as lost until 4 s after its successor has started, so for 5 s. */
+  private static final int INTERVAL_MILLIS = 7000;
+
+  /** When a change is sent, within an interval. */
+  private static final int CHANGE_MILLIS = 5000;
+
+  private static final int ACKNOWLEDGEMENT_MILLIS = 1500;
 
   /** The time for which service may be suspended after all machines are back. */
   private static final int RECOVERY_MILLIS = 12_000;
@@ -34,25 +40,33 @@
 
   private static int run(Lab lab, boolean trouble) throws IOException {
     lab.note("disruption: " + (trouble ? "voters are replaced" : "none"));
-    long version = 1;
-    lab.start(version);
+    long acknowledged = 1;
+    lab.start(acknowledged);
     // All voters have joined.
     Lab.sleep(8000);
     for (int i = 0; i < REPLACEMENTS; i++) {
-      version++;
-      if (!lab.put(version, 4000)) {
-        throw new IOException("Version " + version + " was not acknowledged.");
-      }
       long start = System.nanoTime();
       if (trouble) {
-        lab.remove(lab.leader().orElseThrow(() -> new IOException("No voter leads.")));
+        Optional<Lab.Vm> leader = lab.awaitLeader(RECOVERY_MILLIS);
+        if (leader.isEmpty()) {
+          lab.note("no voter leads");
+          break;
+        }
+        lab.remove(leader.get());
         Lab.sleep(SUCCESSOR_MILLIS);
         lab.addVoter();
       }
-      Lab.sleep(INTERVAL_MILLIS - (System.nanoTime() - start) / 1_000_000);
+      sleepUntil(start, CHANGE_MILLIS);
+      long version = 2 + i;
+      acknowledged = lab.put(version, ACKNOWLEDGEMENT_MILLIS) ? version : acknowledged;
+      sleepUntil(start, INTERVAL_MILLIS);
     }
     Lab.sleep(RECOVERY_MILLIS);
-    return judge(lab, version);
+    return judge(lab, acknowledged);
+  }
+
+  private static void sleepUntil(long start, long millis) {
+    Lab.sleep(Math.max(0, millis - (System.nanoTime() - start) / 1_000_000));
   }
 
   private static int judge(Lab lab, long acknowledged) {
--- a/review/lib-2/Lab.java
+++ b/review/lib-2/Lab.java
@@ -205,6 +205,17 @@
     return voters.stream().filter(it -> text(it, "/metrics").matches("(?s).*leads[^\\n]* 1(\\.0)?\\n.*")).findFirst();
   }
 
+  /** Waits for a leader; returns none if there is none within the limit. */
+  Optional<Vm> awaitLeader(long limitMillis) {
+    long end = System.nanoTime() + Duration.ofMillis(limitMillis).toNanos();
+    Optional<Vm> leader = leader();
+    while (leader.isEmpty() && System.nanoTime() < end) {
+      sleep(100);
+      leader = leader();
+    }
+    return leader;
+  }
+
   /** Returns the version that a voter reads back; 0 if it does not answer with one. */
   long version(Vm voter) {
     Matcher found = Pattern.compile("\"version\":(\\d+)").matcher(text(voter, name("get")));
--- a/review/lib-2/PlatformStandIn.java
+++ b/review/lib-2/PlatformStandIn.java
@@ -40,6 +40,12 @@
             .replace("@SOFTWARE@", version));
   }
 
+  /** Lists a server as draining. */
+  void drain(String id) {
+    servers.replaceAll(
+        it -> it.contains("\"" + id + "\"") ? it.replace("\"ready\"", "\"draining\"") : it);
+  }
+
   private void answer(HttpExchange exchange) throws IOException {
     try (exchange) {
       exchange.getRequestBody().readAllBytes();
