--- a/review/lib-2/Lab.java
+++ b/review/lib-2/Lab.java
@@ -27,8 +27,8 @@
  * A small deployment: real voters and entries, started with the deploy file's command and template,
  * on loopback addresses of their own, beside a stand-in for the platform.
  *
- * <p>Closing it ends all processes and removes the temporary folder. Used by one thread, except for
- * {@link #note}, which is thread-safe.
+ * <p>Closing it ends all processes and removes the temporary folder; the end of this process ends
+ * them, too. Used by one thread, except for {@link #note}, which is thread-safe.
  */
 final class Lab implements AutoCloseable {
   static final int CALLERS_PORT = 8227;
@@ -73,6 +73,7 @@
       voters.add(new Vm("voter" + i, "voter", FIRST_VOTER + i));
     }
     this.nextVoter = voterCount;
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> all().forEach(Vm::end)));
     for (int i = 0; i < entryCount; i++) {
       entries.add(new Vm("entry" + i, "entry", FIRST_ENTRY + i));
     }
