Log each change of the membership with its cause and the voters' silences

Change: the core reports who asked to join and what the leader proposed, with the cause and how long each voter has been silent; each voter logs what is committed. Lines: join_requested, membership_proposed, membership_committed. Result: no decision changes.

--- a/consensus/src/main/java/org/endivemux/consensus/Effects.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Effects.java
@@ -17,6 +17,7 @@
   private final List<Envelope> afterPersist = new ArrayList<>();
   private final List<LogEntry> appended = new ArrayList<>();
   private final List<LogEntry> committed = new ArrayList<>();
+  private final List<MembershipEvent> membershipEvents = new ArrayList<>();
   private Optional<HardState> hardState = Optional.empty();
   private Optional<Snapshot> savedSnapshot = Optional.empty();
   private Optional<Snapshot> installed = Optional.empty();
@@ -49,6 +50,10 @@
     committed.addAll(entries);
   }
 
+  void report(MembershipEvent event) {
+    membershipEvents.add(event);
+  }
+
   void save(HardState state) {
     hardState = Optional.of(state);
   }
@@ -94,6 +99,11 @@
     return List.copyOf(committed);
   }
 
+  /** Returns what this leader decided about the membership, in order; nothing depends on it. */
+  public List<MembershipEvent> membershipEvents() {
+    return List.copyOf(membershipEvents);
+  }
+
   /**
    * Holds what to sync: first the snapshot, then the hard state, then the entries. The first entry
    * replaces everything that the log holds from its index on. Immutable and thread-safe.
--- a/consensus/src/main/java/org/endivemux/consensus/MembershipChanges.java
+++ b/consensus/src/main/java/org/endivemux/consensus/MembershipChanges.java
@@ -3,10 +3,15 @@
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.endivemux.consensus.MembershipChange.Cause;
+import org.endivemux.consensus.MembershipEvent.JoinRequested;
+import org.endivemux.consensus.MembershipEvent.Proposed;
+import org.endivemux.consensus.MembershipEvent.Silence;
 import org.endivemux.model.DiskId;
 import org.endivemux.model.VmId;
 
@@ -37,7 +42,10 @@
     boolean allowed = state.bootstrap.mayJoin(envelope.from());
     boolean known = state.log.membership().member(envelope.fromDisk()).isPresent();
     if (state.leads() && allowed && !known) {
-      joiningDisks.put(envelope.from(), envelope.fromDisk());
+      DiskId earlier = joiningDisks.put(envelope.from(), envelope.fromDisk());
+      if (!envelope.fromDisk().equals(earlier)) {
+        state.effects.report(new JoinRequested(learner(envelope.from(), envelope.fromDisk())));
+      }
     }
   }
 
@@ -47,7 +55,7 @@
     if (!replication.isReady() || !previousCommitted) {
       return;
     }
-    Stream.<Supplier<Optional<Membership>>>of(
+    Stream.<Supplier<Optional<MembershipChange>>>of(
             this::addition, this::promotion, this::removal, () -> surplusRemoval(now))
         .map(Supplier::get)
         .flatMap(Optional::stream)
@@ -55,42 +63,61 @@
         .ifPresent(changed -> propose(changed, now));
   }
 
-  private void propose(Membership changed, long now) {
+  private void propose(MembershipChange change, long now) {
     long index = state.log.lastIndex() + 1;
-    replication.append(LogEntry.ofMembership(index, state.term, changed), now);
+    state.effects.report(new Proposed(index, state.term, change, silences(now)));
+    replication.append(LogEntry.ofMembership(index, state.term, change.result()), now);
   }
 
-  private Optional<Membership> addition() {
+  private List<Silence> silences(long now) {
+    return state
+        .log
+        .membership()
+        .others(state.disk)
+        .filter(Member::voter)
+        .map(member -> new Silence(member.vm(), replication.silentNanos(member, now)))
+        .toList();
+  }
+
+  private Optional<MembershipChange> addition() {
     Membership current = state.log.membership();
     joiningDisks.values().removeIf(disk -> current.member(disk).isPresent());
     return joiningDisks.entrySet().stream()
         .findFirst()
+        .map(join -> learner(join.getKey(), join.getValue()))
         .map(
-            join ->
-                current
-                    .without(member -> isLearnerOf(join.getKey(), member))
-                    .with(new Member(join.getKey(), join.getValue(), false)));
+            member ->
+                new MembershipChange(
+                    Cause.JOINED,
+                    member,
+                    current.without(other -> isLearnerOf(member.vm(), other)).with(member)));
+  }
+
+  private static Member learner(VmId vm, DiskId disk) {
+    return new Member(vm, disk, false);
   }
 
   private static boolean isLearnerOf(VmId vm, Member member) {
     return !member.voter() && member.vm().equals(vm);
   }
 
-  private Optional<Membership> promotion() {
+  private Optional<MembershipChange> promotion() {
     Membership current = state.log.membership();
     return current.members().stream()
         .filter(member -> !member.voter() && isNewest(current, member))
         .filter(replication::isCaughtUp)
         .findFirst()
-        .map(member -> current.promote(member.disk()));
+        .map(
+            member ->
+                new MembershipChange(Cause.CAUGHT_UP, member, current.promote(member.disk())));
   }
 
-  private Optional<Membership> removal() {
+  private Optional<MembershipChange> removal() {
     Membership current = state.log.membership();
     return current.members().stream()
         .filter(member -> isReplaced(current, member))
         .findFirst()
-        .map(removed -> current.without(removed::equals));
+        .map(removed -> removal(Cause.REPLACED_AT_ITS_VM, removed));
   }
 
   /**
@@ -98,7 +125,7 @@
    * number tolerates no more failures than one voter fewer, so the silent voter is taken to have
    * been replaced by another.
    */
-  private Optional<Membership> surplusRemoval(long now) {
+  private Optional<MembershipChange> surplusRemoval(long now) {
     Membership current = state.log.membership();
     boolean isEven = current.voters().size() % 2 == 0;
     return current.members().stream()
@@ -107,7 +134,11 @@
         .filter(member -> !member.disk().equals(state.disk))
         .filter(member -> replication.silentNanos(member, now) > REMOVAL_SILENCE_NANOS)
         .max(Comparator.comparingLong(member -> replication.silentNanos(member, now)))
-        .map(removed -> current.without(removed::equals));
+        .map(removed -> removal(Cause.SILENT, removed));
+  }
+
+  private MembershipChange removal(Cause cause, Member removed) {
+    return new MembershipChange(cause, removed, state.log.membership().without(removed::equals));
   }
 
   private static boolean isNewest(Membership membership, Member member) {
--- a/control/src/main/java/org/endivemux/control/voter/Voter.java
+++ b/control/src/main/java/org/endivemux/control/voter/Voter.java
@@ -60,6 +60,7 @@
   private final Consumer<Envelope> sender;
   private final DiskWriter disk;
   private final Consumer<Throwable> fatal;
+  private final MembershipLog membershipLog;
   private final ControlState state = new ControlState();
   private final BlockingQueue<Runnable> inbox = new LinkedBlockingQueue<>();
   private final List<Submission> submissions = new ArrayList<>();
@@ -89,6 +90,7 @@
     this.guard = clocks.guard();
     this.sender = sender;
     this.fatal = fatal;
+    this.membershipLog = new MembershipLog(self);
     this.core = new ConsensusCore(self, founding, recovered, timing, clocks.nanos());
     this.disk =
         new DiskWriter(
@@ -260,6 +262,7 @@
 
   private void handle(Effects effects) {
     effects.messages().forEach(sender);
+    effects.membershipEvents().forEach(membershipLog::log);
     if (effects.persist().isPresent() || !effects.afterPersist().isEmpty()) {
       disk.write(effects);
     }
@@ -292,6 +295,7 @@
   private void apply(LogEntry entry) {
     appliedIndex = entry.index();
     bytesSinceCompaction += entry.command().size();
+    membershipLog.committed(entry);
     Pending waiting = pending.remove(entry.index());
     if (!entry.hasCommand()) {
       if (waiting != null) {
