Replace lost voters in time, whoever leads

Cause: a silent voter was removed after 8 s counted since the present leader's election, and only from an even number of voters, while each successor got its vote at once. Losses every 7 s that take the leader left 8 voters, 3 of them lost. Change: a successor that has caught up takes the place of a lost voter: a voter that has been silent for two election timeouts, or an earlier disk of its VM, is removed before the learner gets its vote, so that the quorum never grows while a voter does not answer. The wanted number of voters is part of the membership and outlives the leader; earlier builds pass over it. A removed voter asks to join after 1.4 s instead of 4, which was all of the time that it has.

--- a/consensus/src/main/java/org/endivemux/consensus/ConsensusCore.java
+++ b/consensus/src/main/java/org/endivemux/consensus/ConsensusCore.java
@@ -69,10 +69,15 @@
 
   private void startIfElected(long now) {
     if (elections.isElected()) {
-      replication.start(now);
+      lead(now);
     }
   }
 
+  private void lead(long now) {
+    replication.start(now);
+    changes.start();
+  }
+
   /** Handles a message; ignores one that is addressed to another VM or disk id. */
   public Effects receive(Envelope envelope, long now) {
     boolean forThisDisk = envelope.toDisk().map(state.disk::equals).orElse(true);
@@ -106,7 +111,7 @@
 
   private void onVoteReply(Envelope envelope, VoteReply reply, long now) {
     if (elections.onVoteReply(envelope, reply, now)) {
-      replication.start(now);
+      lead(now);
     }
   }
 
--- a/consensus/src/main/java/org/endivemux/consensus/Formation.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Formation.java
@@ -1,6 +1,5 @@
 package org.endivemux.consensus;
 
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,9 +31,6 @@
 
   private static final int PROBE_INTERVAL_HEARTBEATS = 3;
 
-  /** Spans several elections, so that a member that was not removed hears from a leader first. */
-  private static final long REJOIN_SILENCE_NANOS = Duration.ofSeconds(4).toNanos();
-
   private final CoreState state;
   private final Map<VmId, EmptyPeer> emptyPeers = new TreeMap<>();
   private final Set<VmId> learnedContacts = new HashSet<>();
@@ -53,8 +49,8 @@
   }
 
   /**
-   * Asks the others for the leader after a long silence, because this disk may have been removed
-   * from the membership.
+   * Asks the others for the leader after a silence, because this disk may have been removed from
+   * the membership; a leader ignores members that ask to join.
    */
   void rejoinTick(long now) {
     if (isLeaderSilent(now) && isProbeDue(now)) {
@@ -65,7 +61,7 @@
   private boolean isLeaderSilent(long now) {
     long since = state.heardLeaderAt.orElse(state.startedAt);
     boolean passive = state.role != Role.UNFORMED && state.role != Role.LEADER;
-    return passive && now - since > REJOIN_SILENCE_NANOS;
+    return passive && now - since > state.timing.rejoinSilenceNanos();
   }
 
   private long probeIntervalNanos() {
--- a/consensus/src/main/java/org/endivemux/consensus/Membership.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Membership.java
@@ -12,12 +12,36 @@
 /**
  * Holds the members of the replicated log in the order in which they joined.
  *
- * <p>Invariant: each disk id occurs at most once. Immutable and thread-safe.
+ * <p>Invariants: each disk id occurs at most once; the wanted number of voters is odd and never
+ * decreases from one membership to the next. Immutable and thread-safe.
+ *
+ * @param targetVoters wanted number of voters: the largest odd number of voters that there have
+ *     been, while all of them answered; 0 in the memberships of earlier builds, which counts as the
+ *     odd number that is at most the present number of voters
  */
-public record Membership(List<Member> members) {
+public record Membership(List<Member> members, int targetVoters) {
 
   public Membership {
     members = List.copyOf(members);
+    targetVoters = Math.max(targetVoters, largestOddAtMost(voterCount(members)));
+  }
+
+  /** Creates an initial membership: its voters are as many as are wanted. */
+  public Membership(List<Member> members) {
+    this(members, 0);
+  }
+
+  private static int voterCount(List<Member> members) {
+    return (int) members.stream().filter(Member::voter).count();
+  }
+
+  private static int largestOddAtMost(int count) {
+    return count % 2 == 0 ? count - 1 : count;
+  }
+
+  /** Returns the number of voters. */
+  int voterCount() {
+    return voterCount(members);
   }
 
   static Membership none() {
@@ -31,7 +55,7 @@
 
   /** Returns the smallest number of voters that is a majority. */
   public int quorum() {
-    return voters().size() / 2 + 1;
+    return voterCount() / 2 + 1;
   }
 
   /** Returns whether the disk ids include a quorum of the voters. */
@@ -59,17 +83,19 @@
   }
 
   Membership with(Member added) {
-    return new Membership(Stream.concat(others(added.disk()), Stream.of(added)).toList());
+    return changed(Stream.concat(others(added.disk()), Stream.of(added)));
   }
 
   Membership promote(DiskId disk) {
-    return new Membership(
-        members.stream()
-            .map(member -> member.disk().equals(disk) ? member.withVote() : member)
-            .toList());
+    return changed(
+        members.stream().map(member -> member.disk().equals(disk) ? member.withVote() : member));
   }
 
   Membership without(Predicate<Member> removed) {
-    return new Membership(members.stream().filter(removed.negate()).toList());
+    return changed(members.stream().filter(removed.negate()));
+  }
+
+  private Membership changed(Stream<Member> changed) {
+    return new Membership(changed.toList(), targetVoters);
   }
 }
--- a/consensus/src/main/java/org/endivemux/consensus/MembershipChanges.java
+++ b/consensus/src/main/java/org/endivemux/consensus/MembershipChanges.java
@@ -1,43 +1,40 @@
 package org.endivemux.consensus;
 
-import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
-import java.util.stream.Stream;
 import org.endivemux.consensus.MembershipChange.Cause;
 import org.endivemux.consensus.MembershipEvent.JoinRequested;
+import org.endivemux.consensus.MembershipEvent.PromotionDeferred;
 import org.endivemux.consensus.MembershipEvent.Proposed;
 import org.endivemux.consensus.MembershipEvent.Silence;
 import org.endivemux.model.DiskId;
 import org.endivemux.model.VmId;
 
 /**
- * Adds new disks of VMs to the membership and removes the disks that they replace.
+ * Adds the disks that ask to join as learners and proposes what {@link MembershipPolicy} chooses.
  *
- * <p>Invariants: one change at a time, and none before an entry of the current term is committed; a
- * disk gets a vote only once it has caught up, and only then is the VM's old disk removed. Confined
- * to the core's thread.
+ * <p>Invariants: one change at a time, and none before an entry of the current term is committed.
+ * Confined to the core's thread.
  */
 final class MembershipChanges {
-  /** Longer than a restart takes, so that a restarting voter is not removed. */
-  private static final long REMOVAL_SILENCE_NANOS = Duration.ofSeconds(8).toNanos();
-
-  /** Smallest number of voters that is reduced; two are never reduced to one. */
-  private static final int MIN_VOTERS_TO_REDUCE = 4;
-
   private final CoreState state;
   private final Replication replication;
   private final Map<VmId, DiskId> joiningDisks = new HashMap<>();
+  private Optional<Member> deferred = Optional.empty();
 
   MembershipChanges(CoreState state, Replication replication) {
     this.state = state;
     this.replication = replication;
   }
 
+  /** Forgets what an earlier term of this leader left: those who still wait ask again. */
+  void start() {
+    joiningDisks.clear();
+    deferred = Optional.empty();
+  }
+
   void onJoin(Envelope envelope) {
     boolean allowed = state.bootstrap.mayJoin(envelope.from());
     boolean known = state.log.membership().member(envelope.fromDisk()).isPresent();
@@ -55,12 +52,20 @@
     if (!replication.isReady() || !previousCommitted) {
       return;
     }
-    Stream.<Supplier<Optional<MembershipChange>>>of(
-            this::addition, this::promotion, this::removal, () -> surplusRemoval(now))
-        .map(Supplier::get)
-        .flatMap(Optional::stream)
-        .findFirst()
-        .ifPresent(changed -> propose(changed, now));
+    MembershipPolicy policy = policy(now);
+    Optional<MembershipChange> change = addition().or(policy::next);
+    change.ifPresent(next -> propose(next, now));
+    if (change.isEmpty()) {
+      policy.readyLearner().ifPresent(learner -> reportDeferred(learner, now));
+    }
+  }
+
+  private MembershipPolicy policy(long now) {
+    return new MembershipPolicy(
+        state.log.membership(),
+        state.disk,
+        state.timing,
+        member -> replication.contact(member, now));
   }
 
   private void propose(MembershipChange change, long now) {
@@ -69,13 +74,20 @@
     replication.append(LogEntry.ofMembership(index, state.term, change.result()), now);
   }
 
+  private void reportDeferred(Member learner, long now) {
+    if (!deferred.equals(Optional.of(learner))) {
+      deferred = Optional.of(learner);
+      state.effects.report(new PromotionDeferred(learner, silences(now)));
+    }
+  }
+
   private List<Silence> silences(long now) {
     return state
         .log
         .membership()
         .others(state.disk)
         .filter(Member::voter)
-        .map(member -> new Silence(member.vm(), replication.silentNanos(member, now)))
+        .map(member -> new Silence(member.vm(), replication.contact(member, now).silentNanos()))
         .toList();
   }
 
@@ -100,55 +112,4 @@
   private static boolean isLearnerOf(VmId vm, Member member) {
     return !member.voter() && member.vm().equals(vm);
   }
-
-  private Optional<MembershipChange> promotion() {
-    Membership current = state.log.membership();
-    return current.members().stream()
-        .filter(member -> !member.voter() && isNewest(current, member))
-        .filter(replication::isCaughtUp)
-        .findFirst()
-        .map(
-            member ->
-                new MembershipChange(Cause.CAUGHT_UP, member, current.promote(member.disk())));
-  }
-
-  private Optional<MembershipChange> removal() {
-    Membership current = state.log.membership();
-    return current.members().stream()
-        .filter(member -> isReplaced(current, member))
-        .findFirst()
-        .map(removed -> removal(Cause.REPLACED_AT_ITS_VM, removed));
-  }
-
-  /**
-   * Removes the voter that has been silent the longest if the number of voters is even. An even
-   * number tolerates no more failures than one voter fewer, so the silent voter is taken to have
-   * been replaced by another.
-   */
-  private Optional<MembershipChange> surplusRemoval(long now) {
-    Membership current = state.log.membership();
-    boolean isEven = current.voters().size() % 2 == 0;
-    return current.members().stream()
-        .filter(
-            member -> isEven && current.voters().size() >= MIN_VOTERS_TO_REDUCE && member.voter())
-        .filter(member -> !member.disk().equals(state.disk))
-        .filter(member -> replication.silentNanos(member, now) > REMOVAL_SILENCE_NANOS)
-        .max(Comparator.comparingLong(member -> replication.silentNanos(member, now)))
-        .map(removed -> removal(Cause.SILENT, removed));
-  }
-
-  private MembershipChange removal(Cause cause, Member removed) {
-    return new MembershipChange(cause, removed, state.log.membership().without(removed::equals));
-  }
-
-  private static boolean isNewest(Membership membership, Member member) {
-    return membership.newestOf(member.vm()).filter(member::equals).isPresent();
-  }
-
-  private static boolean isReplaced(Membership membership, Member member) {
-    return membership
-        .newestOf(member.vm())
-        .filter(newest -> newest.voter() && !newest.equals(member))
-        .isPresent();
-  }
 }
--- a/consensus/src/main/java/org/endivemux/consensus/MembershipEvent.java
+++ b/consensus/src/main/java/org/endivemux/consensus/MembershipEvent.java
@@ -24,6 +24,16 @@
     }
   }
 
+  /**
+   * A learner has caught up, but gets no vote yet, since a voter neither answers nor has been
+   * silent for long; reported once for each learner.
+   */
+  record PromotionDeferred(Member learner, List<Silence> silences) implements MembershipEvent {
+    public PromotionDeferred {
+      silences = List.copyOf(silences);
+    }
+  }
+
   /** Holds how long a voter has not answered the leader. Immutable and thread-safe. */
   record Silence(VmId vm, long nanos) {}
 }
--- a/consensus/src/main/java/org/endivemux/consensus/Replication.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Replication.java
@@ -120,13 +120,13 @@
     return quorumAnsweredAt(now) + state.timing.leaseNanos();
   }
 
-  boolean isCaughtUp(Member member) {
-    return progressOf(member).matchIndex >= state.commit;
-  }
-
-  /** Returns how long a member has not answered while this member has been the leader. */
-  long silentNanos(Member member, long now) {
-    return now - Math.max(leaderSince, progressOf(member).answeredSentAt);
+  /** Returns what this leader knows of another member. */
+  MemberContact contact(Member member, long now) {
+    Progress peer = progressOf(member);
+    return new MemberContact(
+        peer.answeredSentAt != NEVER,
+        now - Math.max(leaderSince, peer.answeredSentAt),
+        peer.matchIndex >= state.commit);
   }
 
   private long quorumAnsweredAt(long now) {
--- a/consensus/src/main/java/org/endivemux/consensus/Timing.java
+++ b/consensus/src/main/java/org/endivemux/consensus/Timing.java
@@ -15,6 +15,7 @@
 public record Timing(long electionNanos, long heartbeatNanos, int driftPerMille) {
   private static final int PER_MILLE = 1000;
   private static final int DEFAULT_DRIFT_PER_MILLE = 50;
+  private static final int ANSWER_WINDOW_HEARTBEATS = 5;
 
   /** Returns the limits for links with a latency of a few milliseconds. */
   public static Timing standard() {
@@ -40,6 +41,25 @@
     return electionNanos + Math.floorMod(mixed ^ (mixed >>> 32), electionNanos);
   }
 
+  /** Returns for how long a member counts as answering after its last answer to the leader. */
+  long answerWindowNanos() {
+    return ANSWER_WINDOW_HEARTBEATS * heartbeatNanos;
+  }
+
+  /**
+   * Returns for how long a voter has to be silent before a new member may replace it. Short, since
+   * a voter that was only slow joins again, while one that is lost and not replaced weighs on the
+   * quorum.
+   */
+  long replacementSilenceNanos() {
+    return 2 * electionNanos;
+  }
+
+  /** Returns how long a member hears from no leader before it asks whether it was removed. */
+  long rejoinSilenceNanos() {
+    return 2 * electionNanos;
+  }
+
   /** Returns how long a leader stays leader without replies from a quorum. */
   long checkQuorumNanos() {
     return 2 * electionNanos;
--- a/consensus/src/test/java/org/endivemux/consensus/ClusterSimulation.java
+++ b/consensus/src/test/java/org/endivemux/consensus/ClusterSimulation.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.endivemux.consensus.ConsensusCore.Status;
 import org.endivemux.consensus.Message.VoteReply;
 import org.endivemux.consensus.Message.VoteRequest;
@@ -63,10 +64,15 @@
 
   /** Adds and starts a member with an empty disk, and returns its number. */
   int add(int contactCount, boolean mayForm) {
+    return add(IntStream.range(0, contactCount).boxed().collect(Collectors.toSet()), mayForm);
+  }
+
+  /**
+   * Adds and starts a member with an empty disk that knows some members, and returns its number.
+   */
+  int add(Set<Integer> contactNumbers, boolean mayForm) {
     Set<VmId> contacts =
-        IntStream.range(0, contactCount)
-            .mapToObj(ClusterSimulation::vm)
-            .collect(Collectors.toSet());
+        contactNumbers.stream().map(ClusterSimulation::vm).collect(Collectors.toSet());
     Node node = new Node(nodes.size(), new BootstrapConfig(contacts, mayForm, true));
     nodes.add(node);
     node.start();
@@ -124,6 +130,46 @@
     nodes.get(node).start();
   }
 
+  /** Loses a member and its disk for good. */
+  void remove(int node) {
+    nodes.get(node).crash();
+    nodes.get(node).isRemoved = true;
+  }
+
+  /** Returns the numbers of the members that are not lost for good, in the order of their start. */
+  List<Integer> remaining() {
+    return remainingNodes().map(node -> node.number).toList();
+  }
+
+  private Stream<Node> remainingNodes() {
+    return nodes.stream().filter(node -> !node.isRemoved);
+  }
+
+  void thaw(int node) {
+    nodes.get(node).frozen = false;
+  }
+
+  /** Ends the isolation of one member. */
+  void reconnect(int node) {
+    isolated.remove(node);
+  }
+
+  /**
+   * Returns how many more voters may be lost at once without a loss of the quorum, by the leader's
+   * membership; negative if there is no leader.
+   */
+  int tolerance() {
+    return leader()
+        .map(node -> node.status().membership())
+        .map(membership -> running(membership.voters()) - membership.quorum())
+        .orElse(-1);
+  }
+
+  private int running(Set<DiskId> disks) {
+    return (int)
+        nodes.stream().filter(Node::isRunning).filter(node -> disks.contains(node.disk.id)).count();
+  }
+
   void freeze(int node) {
     nodes.get(node).frozen = true;
   }
@@ -141,7 +187,7 @@
 
   /** Returns whether all disks in use are the voters and the leader's log is committed. */
   boolean hasFullMembership() {
-    Set<DiskId> present = nodes.stream().map(node -> node.disk.id).collect(Collectors.toSet());
+    Set<DiskId> present = remainingNodes().map(node -> node.disk.id).collect(Collectors.toSet());
     return leader()
         .map(Node::status)
         .filter(status -> status.commit() == status.lastIndex())
@@ -162,7 +208,7 @@
     isolated.clear();
     cutLinks.clear();
     nodes.forEach(node -> node.frozen = false);
-    nodes.stream().filter(node -> node.core.isEmpty()).forEach(Node::start);
+    remainingNodes().filter(node -> node.core.isEmpty()).forEach(Node::start);
   }
 
   Optional<Node> leader() {
@@ -177,7 +223,12 @@
   }
 
   boolean allApplied(String command) {
-    return nodes.stream().allMatch(node -> node.applied.endsWith(command + ";"));
+    return remainingNodes().allMatch(node -> node.applied.endsWith(command + ";"));
+  }
+
+  /** Returns whether each member that remains has applied a command, in a snapshot or by itself. */
+  boolean wasAppliedEverywhere(String command) {
+    return remainingNodes().allMatch(node -> (";" + node.applied).contains(";" + command + ";"));
   }
 
   private void checkLeases() {
@@ -200,6 +251,7 @@
     SimulatedDisk disk;
     Optional<ConsensusCore> core = Optional.empty();
     boolean frozen;
+    boolean isRemoved;
     String applied = "";
     private long appliedIndex;
     private int incarnation;
--- a/control/src/main/java/org/endivemux/control/voter/MembershipLog.java
+++ b/control/src/main/java/org/endivemux/control/voter/MembershipLog.java
@@ -1,13 +1,16 @@
 package org.endivemux.control.voter;
 
+import static java.util.concurrent.TimeUnit.NANOSECONDS;
+
 import com.google.common.flogger.FluentLogger;
-import java.util.concurrent.TimeUnit;
+import java.util.List;
 import java.util.stream.Collectors;
 import org.endivemux.consensus.LogEntry;
 import org.endivemux.consensus.Member;
 import org.endivemux.consensus.Membership;
 import org.endivemux.consensus.MembershipEvent;
 import org.endivemux.consensus.MembershipEvent.JoinRequested;
+import org.endivemux.consensus.MembershipEvent.PromotionDeferred;
 import org.endivemux.consensus.MembershipEvent.Proposed;
 import org.endivemux.consensus.MembershipEvent.Silence;
 import org.endivemux.model.VmId;
@@ -34,6 +37,10 @@
       logger.atInfo().log("event=join_requested %s", describe(joined.member()));
     } else if (event instanceof Proposed proposed) {
       log(proposed);
+    } else if (event instanceof PromotionDeferred deferred) {
+      logger.atInfo().log(
+          "event=promotion_deferred %s silentMillis=%s",
+          describe(deferred.learner()), describe(deferred.silences()));
     }
   }
 
@@ -46,7 +53,7 @@
         proposed.change().cause(),
         describe(proposed.change().member()),
         describe(proposed.change().result()),
-        proposed.silences().stream().map(MembershipLog::describe).collect(Collectors.joining(",")));
+        describe(proposed.silences()));
   }
 
   /** Logs a committed entry if it holds a membership. */
@@ -65,7 +72,8 @@
   }
 
   private static String describe(Membership membership) {
-    return "voters=" + vms(membership, true) + " learners=" + vms(membership, false);
+    return "voters=%s learners=%s targetVoters=%d"
+        .formatted(vms(membership, true), vms(membership, false), membership.targetVoters());
   }
 
   private static String vms(Membership membership, boolean voters) {
@@ -75,7 +83,9 @@
         .collect(Collectors.joining(","));
   }
 
-  private static String describe(Silence silence) {
-    return silence.vm().value() + ":" + TimeUnit.NANOSECONDS.toMillis(silence.nanos());
+  private static String describe(List<Silence> silences) {
+    return silences.stream()
+        .map(silence -> silence.vm().value() + ":" + NANOSECONDS.toMillis(silence.nanos()))
+        .collect(Collectors.joining(","));
   }
 }
