Let a voter's client ask its own voter for the leader

Cause: the client that forwards operators' calls knew the contacts only, and learnt of other voters from their replies. Change: the client of a process with a voter asks that voter first, and every second time in between: what it knows may be outdated, too.

--- a/control/src/main/java/org/endivemux/control/client/ControlClient.java
+++ b/control/src/main/java/org/endivemux/control/client/ControlClient.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.endivemux.control.ControlException;
@@ -29,20 +30,33 @@
   private static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
   private final Function<VmId, VoterClient> voterClients;
+  private final Optional<VmId> ownVoter;
+  private final AtomicInteger unnamedFailures = new AtomicInteger();
   private volatile List<VmId> contacts;
   private volatile List<VmId> candidates;
   private volatile VmId presumedLeader;
 
+  /** Creates a client for a process without a voter. */
+  public ControlClient(Function<VmId, VoterClient> voterClients, Collection<VmId> contacts) {
+    this(voterClients, contacts, Optional.empty());
+  }
+
   /**
    * Creates a client that first asks the contacts and learns of other voters from their replies.
    *
    * @param voterClients returns the client of a VM; always the same one for the same VM
+   * @param ownVoter the voter in this process, which mostly knows the leader; it is asked first and
+   *     in between, because all contacts may have been replaced
    */
-  public ControlClient(Function<VmId, VoterClient> voterClients, Collection<VmId> contacts) {
+  public ControlClient(
+      Function<VmId, VoterClient> voterClients,
+      Collection<VmId> contacts,
+      Optional<VmId> ownVoter) {
     this.voterClients = voterClients;
+    this.ownVoter = ownVoter;
     this.contacts = contacts.stream().sorted().toList();
     this.candidates = this.contacts;
-    this.presumedLeader = candidates.get(0);
+    this.presumedLeader = ownVoter.orElseGet(() -> candidates.get(0));
   }
 
   /** Replaces the VMs that are asked in addition to the known voters. */
@@ -104,10 +118,22 @@
   }
 
   private VmId nextCandidate(VmId asked) {
+    return ownVoter.map(this::nextBesideOwn).orElseGet(() -> nextAfter(asked));
+  }
+
+  private VmId nextAfter(VmId asked) {
     List<VmId> current = candidates;
     return current.get((current.indexOf(asked) + 1) % current.size());
   }
 
+  /** Returns the own voter and the others in turn: what the own one knows may be outdated. */
+  private VmId nextBesideOwn(VmId own) {
+    int turn = unnamedFailures.getAndIncrement();
+    List<VmId> others = candidates.stream().filter(vm -> !vm.equals(own)).toList();
+    boolean isOwnsTurn = others.isEmpty() || turn % 2 == 1;
+    return isOwnsTurn ? own : others.get(Math.floorMod(turn / 2, others.size()));
+  }
+
   /** Asks one voter. Implementations are thread-safe and do not block. */
   public interface VoterClient {
     Mono<ControlReply> ask(ControlRequest request, Duration limit);
--- a/daemon/src/main/java/org/endivemux/daemon/Daemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/Daemon.java
@@ -114,7 +114,9 @@
                     new StreamRecorder(ownVoter, new TrueTime(clocks))));
     this.leaderTasks = service.map(this::leaderTasks);
     Map<VmId, ControlClient.VoterClient> voterClients = voterClients();
-    ControlClient control = new ControlClient(voterClients::get, settings.voters().keySet());
+    ControlClient control =
+        new ControlClient(
+            voterClients::get, settings.voters().keySet(), voter.map(own -> settings.vm()));
     UsageLedger usage = new UsageLedger();
     this.follower =
         new ViewFollower(
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayDaemon.java
@@ -54,7 +54,9 @@
         settings
             .dataFolder()
             .map(folder -> new GatewayVoter(settings, network, clocks, loop, fatal, metrics));
-    this.control = new ControlClient(this::voterClient, settings.contactIds());
+    this.control =
+        new ControlClient(
+            this::voterClient, settings.contactIds(), voter.map(own -> settings.peerId()));
     this.entry =
         settings
             .callersAddress()
