Check that a server is still open before the first byte of a request

Callers saw: nothing yet. A request that was bound to a server and waited for a new connection, for up to 700 ms, was sent although the server had left meanwhile (listed in docs/PROOFS.md as open). Change: an attempt's marker takes a further condition, and the relay adds that the server is open for the bound job. An attempt that is held back counts as not sent and goes elsewhere.

--- a/gateway/src/main/java/org/endivemux/gateway/Relay.java
+++ b/gateway/src/main/java/org/endivemux/gateway/Relay.java
@@ -204,6 +204,7 @@
       cancel(id);
       return Flux.error(GatewayRefusal.of(Reason.PROMPT_QUARANTINED));
     }
+    marker.require(() -> pool.isOpen(binding));
     crashes.sent(prompt);
     progress.startAttempt(binding.server().id(), marker);
     long sentAt = nanos.getAsLong();
--- a/wire/src/main/java/org/endivemux/wire/SendMarker.java
+++ b/wire/src/main/java/org/endivemux/wire/SendMarker.java
@@ -19,7 +19,7 @@
   }
 
   private final AtomicReference<State> state = new AtomicReference<>(State.UNDECIDED);
-  private final BooleanSupplier maySend;
+  private volatile BooleanSupplier maySend;
 
   public SendMarker() {
     this(() -> true);
@@ -33,6 +33,15 @@
     this.maySend = maySend;
   }
 
+  /**
+   * Adds a condition that has to hold, too, right before the request would be written; called
+   * before the request is handed over to be written.
+   */
+  public void require(BooleanSupplier condition) {
+    BooleanSupplier earlier = maySend;
+    maySend = () -> earlier.getAsBoolean() && condition.getAsBoolean();
+  }
+
   /** Returns whether the request may be written now; true at most once. */
   public boolean trySend() {
     State wanted = maySend.getAsBoolean() ? State.SENT : State.HELD_BACK;
--- a/wire/src/test/java/org/endivemux/wire/SendMarkerTest.java
+++ b/wire/src/test/java/org/endivemux/wire/SendMarkerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 
@@ -44,6 +45,20 @@
     assertThat(marker.tryAbandon()).isTrue();
   }
 
+  // Guards against a condition that is checked when it is added, or that replaces an earlier one.
+  @Example
+  void addedConditionHoldsRightBeforeTheRequestIsWritten() {
+    AtomicBoolean isAllowed = new AtomicBoolean(true);
+    SendMarker marker = new SendMarker();
+    marker.require(isAllowed::get);
+    isAllowed.set(false);
+    assertThat(marker.trySend()).isFalse();
+    assertThat(marker.isHeldBack()).isTrue();
+    SendMarker forbidden = new SendMarker(() -> false);
+    forbidden.require(() -> true);
+    assertThat(forbidden.trySend()).isFalse();
+  }
+
   private static boolean await(CyclicBarrier barrier) {
     try {
       barrier.await();
