Let streams go on at servers that leave until their drain ends

Cause: a server that leaves was closed for all requests at once, so a stream that only servers of its version may continue had none left. Evidence: each refused resumption had its record, and nothing was sent to the old servers. The drain is counted from the leader's last reading that showed the server as ready, in true time; the log keeps that time for the next leader, the list carries it to entries, and an unknown time means closed. A server's own notice counts by the entry that heard it. Setting serverDrainMillis, 3000 if absent.

--- a/control/src/main/java/org/endivemux/control/state/StreamVersions.java
+++ b/control/src/main/java/org/endivemux/control/state/StreamVersions.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.model.gateway.StreamKey;
@@ -16,7 +17,8 @@
 import org.endivemux.model.gateway.StreamStarts;
 
 /**
- * Holds which software version began each recent stream, and since when each version has served.
+ * Holds which software version began each recent stream, since when each version has served, and
+ * since when servers leave that may still serve.
  *
  * <p>Invariant: a version is named for a stream only if the entry that began it has reported it, or
  * if no other version has been listed for the service for longer than a stream can last. Confined
@@ -37,9 +39,13 @@
 
   private static final long PRUNE_INTERVAL_MILLIS = 1_000;
 
+  /** Far longer than a server that leaves still serves. */
+  private static final long LEAVING_RETENTION_MILLIS = 600_000;
+
   private final Map<StreamKey, Start> starts = new HashMap<>();
   private final Map<ServiceName, TreeMap<String, Long>> lastListed = new HashMap<>();
   private final Map<ServiceName, Long> knownSince = new HashMap<>();
+  private final Map<BackendServerId, Long> leavingSince = new HashMap<>();
   private long notedAtMillis;
   private long prunedAtMillis;
 
@@ -53,8 +59,10 @@
   void apply(VersionNote note) {
     note.listed().ifPresent(listed -> updateListed(listed, note.atMillis()));
     note.starts().forEach(batch -> add(batch, note.atMillis()));
+    leavingSince.putAll(note.leaving());
     if (note.atMillis() - prunedAtMillis > PRUNE_INTERVAL_MILLIS) {
       starts.values().removeIf(start -> start.expiresAtMillis() < note.atMillis());
+      leavingSince.values().removeIf(since -> since < note.atMillis() - LEAVING_RETENTION_MILLIS);
       prunedAtMillis = note.atMillis();
     }
   }
@@ -123,6 +131,11 @@
         : Found.NOTHING;
   }
 
+  /** Returns since when servers leave, in Unix milliseconds; some may be gone by now. */
+  public Map<BackendServerId, Long> leavingSince() {
+    return Map.copyOf(leavingSince);
+  }
+
   /** Returns the number of streams whose version is recorded. */
   int size() {
     return starts.size();
@@ -134,7 +147,8 @@
         (stream, start) -> byStart.computeIfAbsent(start, none -> new ArrayList<>()).add(stream));
     List<StreamStarts> batches =
         byStart.entrySet().stream().map(it -> saved(it.getKey(), it.getValue())).toList();
-    return new Saved(batches, Map.copyOf(lastListed), Map.copyOf(knownSince), notedAtMillis);
+    return new Saved(
+        batches, Map.copyOf(lastListed), Map.copyOf(knownSince), notedAtMillis, leavingSince());
   }
 
   private static StreamStarts saved(Start start, List<StreamKey> streams) {
@@ -149,6 +163,8 @@
     saved.starts().forEach(batch -> add(batch, 0));
     saved.lastListed().forEach((service, last) -> lastListed.put(service, new TreeMap<>(last)));
     knownSince.putAll(saved.knownSince());
+    leavingSince.clear();
+    leavingSince.putAll(saved.leavingSince());
     notedAtMillis = saved.notedAtMillis();
   }
 
@@ -159,14 +175,20 @@
    * @param lastListed when each version was last listed, in Unix milliseconds, by service
    * @param knownSince since when the versions of a service are followed
    * @param notedAtMillis when the listed versions were last noted
+   * @param leavingSince since when servers leave; none in snapshots of earlier builds
    */
   record Saved(
       List<StreamStarts> starts,
       Map<ServiceName, TreeMap<String, Long>> lastListed,
       Map<ServiceName, Long> knownSince,
-      long notedAtMillis) {
+      long notedAtMillis,
+      Map<BackendServerId, Long> leavingSince) {
+    Saved {
+      leavingSince = leavingSince == null ? Map.of() : leavingSince;
+    }
+
     static Saved initial() {
-      return new Saved(List.of(), Map.of(), Map.of(), 0);
+      return new Saved(List.of(), Map.of(), Map.of(), 0, Map.of());
     }
   }
 }
--- a/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
+++ b/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
@@ -15,6 +15,7 @@
 import org.endivemux.control.state.WindowReports.FinalWindow;
 import org.endivemux.control.voter.PlatformPort.CapacityOrder;
 import org.endivemux.control.voter.PlatformPort.Verdict;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListing;
@@ -174,19 +175,27 @@
     }
     listReadAt = clocks.nanos();
     long term = leaderTerm;
+    long askedAtMillis = time.millis();
     return platform
         .servers()
         .flatMap(
             listing ->
                 streams
                     .noteListed(term, directory.complete(term, listing, time.millis()))
-                    .thenReturn(listing))
-        .doOnNext(listing -> applyList(term, listing))
+                    .then(Mono.fromFuture(streams::recordedLeaving))
+                    .doOnNext(recorded -> applyList(term, listing, askedAtMillis, recorded)))
         .then();
   }
 
-  private void applyList(long term, ServerListing listing) {
-    if (directory.replace(term, listing, time.millis())) {
+  private void applyList(
+      long term,
+      ServerListing listing,
+      long askedAtMillis,
+      Map<BackendServerId, Long> recordedLeaving) {
+    boolean isChanged =
+        directory.replace(term, listing, time.millis(), askedAtMillis, recordedLeaving);
+    streams.noteLeaving(directory.leavingSince(), recordedLeaving);
+    if (isChanged) {
       List<GatewayServer> servers = directory.servers();
       listChangedAt = clocks.nanos();
       logger.atInfo().log(
--- a/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
@@ -36,6 +36,7 @@
   private final Map<Long, ServerListUpdate> updates = new HashMap<>();
 
   private final Set<BackendServerId> reportedLeaving = new HashSet<>();
+  private final LeavingTimes leavingTimes = new LeavingTimes();
   private List<GatewayServer> servers = List.of();
   private long term = -1;
   private long changes;
@@ -45,16 +46,31 @@
    * cannot be read stays as it was in this term.
    *
    * @param nowMillis true time at which the listing was received, in Unix milliseconds
+   * @param askedAtMillis true time at which it was asked for
+   * @param recordedLeaving since when servers leave, as earlier leaders recorded it
    */
-  synchronized boolean replace(long newTerm, ServerListing listing, long nowMillis) {
+  synchronized boolean replace(
+      long newTerm,
+      ServerListing listing,
+      long nowMillis,
+      long askedAtMillis,
+      Map<BackendServerId, Long> recordedLeaving) {
     List<GatewayServer> read = complete(newTerm, listing, nowMillis);
     if (newTerm != term) {
       reportedLeaving.clear();
+      leavingTimes.clear();
     }
     reportedLeaving.retainAll(read.stream().map(GatewayServer::id).toList());
+    leavingTimes.read(withReported(read), askedAtMillis, recordedLeaving);
     return update(newTerm, read);
   }
 
+  private List<GatewayServer> withReported(List<GatewayServer> listed) {
+    return listed.stream()
+        .map(server -> reportedLeaving.contains(server.id()) ? server.asLeaving() : server)
+        .toList();
+  }
+
   /** Returns the servers of a listing, with what is known of them in this term. */
   synchronized List<GatewayServer> complete(long newTerm, ServerListing listing, long nowMillis) {
     return listing.completedFrom(newTerm == term ? servers : List.of(), nowMillis);
@@ -66,6 +82,9 @@
    */
   synchronized boolean reportLeaving(long ofTerm, Collection<BackendServerId> leaving) {
     boolean isNew = ofTerm == term && reportedLeaving.addAll(leaving);
+    if (isNew) {
+      leavingTimes.told(leaving);
+    }
     return isNew && update(term, servers);
   }
 
@@ -96,8 +115,8 @@
 
   private boolean update(long newTerm, List<GatewayServer> listed) {
     List<GatewayServer> ordered =
-        listed.stream()
-            .map(server -> reportedLeaving.contains(server.id()) ? server.asLeaving() : server)
+        withReported(listed).stream()
+            .map(this::withLeavingTime)
             .sorted(Comparator.comparing(GatewayServer::id))
             .toList();
     boolean changed = newTerm != term || !servers.equals(ordered);
@@ -117,6 +136,15 @@
     return changed;
   }
 
+  private GatewayServer withLeavingTime(GatewayServer server) {
+    return server.leaving() ? server.leavingSince(leavingTimes.since(server.id())) : server;
+  }
+
+  /** Returns since when servers leave, for those of which it is known, in Unix milliseconds. */
+  synchronized Map<BackendServerId, Long> leavingSince() {
+    return leavingTimes.known();
+  }
+
   /** Returns the number of the current list of a term; 0 while the term has no list. */
   synchronized long number(long ofTerm) {
     return ofTerm == term ? term * NUMBERS_PER_TERM + changes : 0;
--- a/control/src/main/java/org/endivemux/control/voter/StreamRecorder.java
+++ b/control/src/main/java/org/endivemux/control/voter/StreamRecorder.java
@@ -18,6 +18,7 @@
 import org.endivemux.control.state.CommandResult;
 import org.endivemux.control.state.StreamVersions;
 import org.endivemux.control.state.VersionNote;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.SoftwareVersion;
@@ -127,6 +128,24 @@
         .then();
   }
 
+  /** Returns since when servers leave, as leaders recorded it, in Unix milliseconds. */
+  CompletableFuture<Map<BackendServerId, Long>> recordedLeaving() {
+    return voter.read(state -> state.streamVersions().leavingSince());
+  }
+
+  /** Records since when servers leave, so that it outlives this leader, if that is new. */
+  void noteLeaving(Map<BackendServerId, Long> leaving, Map<BackendServerId, Long> recorded) {
+    if (!recorded.entrySet().containsAll(leaving.entrySet())) {
+      logger.atInfo().log("event=leaving_noted servers=%s", leaving);
+      inBackground(
+          Mono.fromFuture(
+                  () ->
+                      voter.submit(
+                          new VersionNote(time.millis(), Optional.empty(), List.of(), leaving)))
+              .then());
+    }
+  }
+
   private static void inBackground(Mono<Void> commit) {
     var unused =
         commit.subscribe(
--- a/control/src/test/java/org/endivemux/control/state/VersionFieldsTest.java
+++ b/control/src/test/java/org/endivemux/control/state/VersionFieldsTest.java
@@ -9,7 +9,11 @@
 import net.jqwik.api.Example;
 import org.endivemux.control.message.ControlRequest.GatewayPoll;
 import org.endivemux.control.state.Command.Stamped;
+import org.endivemux.model.BackendServerId;
 import org.endivemux.model.Bytes;
+import org.endivemux.model.FailureDomain;
+import org.endivemux.model.ServerKind;
+import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.model.gateway.StreamKey;
@@ -50,6 +54,44 @@
     assertThat(restored.streamVersions().size()).isZero();
   }
 
+  // Guards against a voter that ends at a note of an earlier build, or forgets in a snapshot since
+  // when a server leaves.
+  @Example
+  void timesOfServersThatLeaveAreOptional() {
+    Map<BackendServerId, Long> leaving = Map.of(new BackendServerId("s"), 1L);
+    VersionNote note = new VersionNote(2, Optional.empty(), List.of(), leaving);
+    byte[] encoded = MessagePackCodec.encode(note);
+    assertThat(MessagePackCodec.decode(encoded, VersionNote.class)).isEqualTo(note);
+    assertThat(MessagePackCodec.decode(without("leaving", encoded), VersionNote.class).leaving())
+        .isEmpty();
+    ControlState state = new ControlState();
+    state.apply(1, new Stamped(2, Command.noChange(), Optional.of(note)));
+    ControlState restored = new ControlState();
+    restored.restore(state.save());
+    assertThat(restored.streamVersions().leavingSince()).isEqualTo(leaving);
+  }
+
+  // Guards against an entry that cannot read a list of an earlier build, or an earlier one of ours.
+  @Example
+  void serverWithoutTheTimeHasTheFormatOfEarlierBuilds() {
+    GatewayServer server =
+        new GatewayServer(
+            new BackendServerId("s"),
+            new ServiceName("llm"),
+            "10.0.0.1:1",
+            new FailureDomain("a"),
+            4,
+            true,
+            ServerKind.STEADY);
+    byte[] encoded = MessagePackCodec.encode(server);
+    Map<?, ?> members = MessagePackCodec.decode(encoded, Map.class);
+    assertThat(members.containsKey("leavingSinceMillis")).isFalse();
+    assertThat(MessagePackCodec.decode(encoded, GatewayServer.class)).isEqualTo(server);
+    GatewayServer timed = server.leavingSince(5);
+    assertThat(MessagePackCodec.decode(MessagePackCodec.encode(timed), GatewayServer.class))
+        .isEqualTo(timed);
+  }
+
   /** Guards against a poll with streams that an earlier build's format has no place for. */
   @Example
   void pollWithoutStreamsHasTheFormatOfEarlierBuilds() {
--- a/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -39,6 +40,68 @@
     return new ServerListing(servers, Set.of());
   }
 
+  private boolean replace(long term, ServerListing listing, long nowMillis) {
+    return directory.replace(term, listing, nowMillis, nowMillis, Map.of());
+  }
+
+  private static List<GatewayServer> listedWithOneLeaving() {
+    return listed().stream()
+        .map(server -> server.id().equals(LEAVING) ? server.asLeaving() : server)
+        .toList();
+  }
+
+  private long leavingSince() {
+    return directory.servers().stream()
+        .filter(server -> server.id().equals(LEAVING))
+        .mapToLong(GatewayServer::leavingSinceMillis)
+        .findFirst()
+        .orElseThrow();
+  }
+
+  // Guards against a drain that is counted from a later moment than the platform's own list.
+  @Example
+  void serverLeavesSinceItWasLastReadAsNotLeaving() {
+    directory.replace(TERM, listing(listed()), 10_050, 10_000, Map.of());
+    directory.replace(TERM, listing(listed()), 10_800, 10_700, Map.of());
+    directory.replace(TERM, listing(listedWithOneLeaving()), 11_500, 11_400, Map.of());
+    assertThat(leavingSince()).isEqualTo(10_700);
+    assertThat(directory.replace(TERM, listing(listedWithOneLeaving()), 12_200, 12_100, Map.of()))
+        .isFalse();
+    assertThat(leavingSince()).isEqualTo(10_700);
+  }
+
+  // Guards against a drain that is counted from a notice although the server was known to leave.
+  @Example
+  void serverThatToldAnEntryLeavesSinceTheLastReadingBefore() {
+    directory.replace(TERM, listing(listed()), 10_050, 10_000, Map.of());
+    directory.reportLeaving(TERM, List.of(LEAVING));
+    directory.replace(TERM, listing(listed()), 10_800, 10_700, Map.of());
+    directory.replace(TERM, listing(listedWithOneLeaving()), 11_500, 11_400, Map.of());
+    assertThat(leavingSince()).isEqualTo(10_000);
+  }
+
+  // Guards against a new leader that counts a drain from its own first reading.
+  @Example
+  void newLeaderKnowsOnlyWhatAnEarlierOneRecorded() {
+    directory.replace(TERM, listing(listed()), 10_050, 10_000, Map.of());
+    List<GatewayServer> servers = listedWithOneLeaving();
+    directory.replace(TERM + 1, listing(servers), 11_500, 11_400, Map.of());
+    assertThat(leavingSince()).isZero();
+    assertThat(directory.leavingSince()).isEmpty();
+    directory.replace(TERM + 1, listing(servers), 12_200, 12_100, Map.of(LEAVING, 10_000L));
+    assertThat(leavingSince()).isEqualTo(10_000);
+  }
+
+  // Guards against a second life of a server whose drain is counted from its first.
+  @Example
+  void serverThatIsBackAndLeavesAgainHasANewTime() {
+    directory.replace(TERM, listing(listedWithOneLeaving()), 10_050, 10_000, Map.of(LEAVING, 9L));
+    directory.replace(TERM, listing(listed()), 20_050, 20_000, Map.of(LEAVING, 9L));
+    assertThat(leavingSince()).isZero();
+    directory.replace(TERM, listing(listedWithOneLeaving()), 30_050, 30_000, Map.of(LEAVING, 9L));
+    assertThat(leavingSince()).isEqualTo(20_000);
+  }
+
   private List<BackendServerId> leaving() {
     return directory.servers().stream()
         .filter(GatewayServer::leaving)
@@ -52,10 +115,10 @@
    */
   @Example
   void refusedConnectionIsHandedOnAtMostTwiceASecond() {
-    directory.replace(TERM, listing(listed()), 0);
+    replace(TERM, listing(listed()), 0);
     assertThat(directory.reportRefusing(TERM, List.of(LEAVING), 10_000)).isTrue();
     assertThat(directory.reportRefusing(TERM, List.of(LEAVING), 10_499)).isFalse();
-    assertThat(directory.replace(TERM, listing(listed()), 10_499)).isFalse();
+    assertThat(replace(TERM, listing(listed()), 10_499)).isFalse();
     assertThat(directory.servers())
         .extracting(GatewayServer::refusedAtMillis)
         .containsExactly(0L, 10_000L, 0L);
@@ -68,32 +131,32 @@
    */
   @Example
   void reportedServerIsLeavingInThisListAndInLaterOnes() {
-    directory.replace(TERM, listing(listed()), 0);
+    replace(TERM, listing(listed()), 0);
     assertThat(directory.reportLeaving(TERM, List.of(LEAVING))).isTrue();
     assertThat(leaving()).containsExactly(LEAVING);
     assertThat(directory.reportLeaving(TERM, List.of(LEAVING))).isFalse();
-    assertThat(directory.replace(TERM, listing(listed()), 0)).isFalse();
+    assertThat(replace(TERM, listing(listed()), 0)).isFalse();
     assertThat(leaving()).containsExactly(LEAVING);
   }
 
   /** Guards against a server that starts under an earlier id being taken for the one that left. */
   @Example
   void reportEndsWhenTheServerIsNoLongerListed() {
-    directory.replace(TERM, listing(listed()), 0);
+    replace(TERM, listing(listed()), 0);
     directory.reportLeaving(TERM, List.of(LEAVING));
-    directory.replace(TERM, listing(listed().subList(2, 3)), 0);
-    directory.replace(TERM, listing(listed()), 0);
+    replace(TERM, listing(listed().subList(2, 3)), 0);
+    replace(TERM, listing(listed()), 0);
     assertThat(leaving()).isEmpty();
   }
 
   /** Guards against a sound server that gets no requests because its entry was overwritten. */
   @Example
   void serverWhoseEntryCannotBeReadStaysAsItWas() {
-    directory.replace(TERM, listing(listed()), 0);
+    replace(TERM, listing(listed()), 0);
     ServerListing odd = new ServerListing(listed().subList(0, 2), Set.of(listed().get(2).id()));
-    assertThat(directory.replace(TERM, odd, 0)).isFalse();
+    assertThat(replace(TERM, odd, 0)).isFalse();
     assertThat(directory.servers()).isEqualTo(listed());
-    directory.replace(TERM + 1, odd, 0);
+    replace(TERM + 1, odd, 0);
     assertThat(directory.servers()).isEqualTo(listed().subList(0, 2));
   }
 
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayEntry.java
@@ -106,6 +106,7 @@
             new FleetScheduler(
                 settings.domain(),
                 notices,
+                settings.serverDrain(),
                 new WarmUpLimit(settings.peerId(), this::liveEntries, settings.coldBounds()),
                 new StatedLimits(settings.peerId(), this::liveEntries),
                 new OverloadProtection(settings.isOverloadProtected(), this::entryCount)),
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -41,6 +41,8 @@
  * @param retryRatio share of the requests of a service that all entries together may retry
  * @param retrySlack retries allowed beyond that share in a window of {@code retryWindowSeconds}
  * @param drainSeconds time from the stop signal until the process is killed
+ * @param serverDrainMillis how long a backend server serves after the platform first lists it as
+ *     leaving; until shortly before, it gets streams that can go on nowhere else; 3000 if absent
  * @param maxServerPauseSeconds longest time for which an entry sends nothing to a backend server
  *     that asks for it; bounds the loss when a server asks for far too long by mistake; 60 if
  *     absent
@@ -79,6 +81,7 @@
     double retryWindowSeconds,
     double retrySlack,
     double drainSeconds,
+    Optional<Long> serverDrainMillis,
     Optional<Double> maxServerPauseSeconds,
     Optional<Double> coldOverage,
     Optional<Double> coldSlack,
@@ -89,6 +92,7 @@
     Optional<Double> hedgeQuantile,
     Optional<List<String>> contracts,
     Optional<Boolean> overloadProtection) {
+  private static final long DEFAULT_SERVER_DRAIN_MILLIS = 3000;
   private static final double DEFAULT_HEDGE_QUANTILE = 0.95;
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final double DEFAULT_COLD_OVERAGE = 1.5;
@@ -186,6 +190,10 @@
     return millis(entriesLifetimeSeconds);
   }
 
+  Duration serverDrain() {
+    return Duration.ofMillis(serverDrainMillis.orElse(DEFAULT_SERVER_DRAIN_MILLIS));
+  }
+
   Duration maxServerPause() {
     return millis(maxServerPauseSeconds.orElse(DEFAULT_MAX_SERVER_PAUSE_SECONDS));
   }
--- a/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
+++ b/gateway/src/main/java/org/endivemux/gateway/DirectListing.java
@@ -121,17 +121,22 @@
 
   /**
    * Returns the servers that were read, of which those known to leave do so: the leader may have
-   * heard it from another entry, long before the platform lists it.
+   * heard it from another entry, long before the platform lists it. Since when they leave is known
+   * from the leader only.
    */
   private static List<GatewayServer> withLeaving(
       List<GatewayServer> read, List<GatewayServer> known) {
-    Set<BackendServerId> leaving =
+    Map<BackendServerId, Long> leavingSince =
         known.stream()
             .filter(GatewayServer::leaving)
-            .map(GatewayServer::id)
-            .collect(Collectors.toSet());
+            .collect(
+                Collectors.toMap(GatewayServer::id, GatewayServer::leavingSinceMillis, Math::min));
     return read.stream()
-        .map(server -> leaving.contains(server.id()) ? server.asLeaving() : server)
+        .map(
+            server ->
+                leavingSince.containsKey(server.id())
+                    ? server.leavingSince(leavingSince.get(server.id()))
+                    : server)
         .toList();
   }
 
--- a/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
+++ b/gateway/src/main/java/org/endivemux/gateway/ServerPool.java
@@ -161,7 +161,7 @@
    */
   boolean isOpen(Binding binding) {
     synchronized (lock) {
-      return scheduler.isOpen(binding.server());
+      return scheduler.isOpen(binding, nanos.getAsLong());
     }
   }
 
@@ -235,7 +235,7 @@
       long now = nanos.getAsLong();
       bound = scheduler.bind(now);
       unserved = scheduler.removeEvacuated();
-      withoutVersion = scheduler.removeWithoutVersion();
+      withoutVersion = scheduler.removeWithoutVersion(now);
       decisions = scheduler.takeWarmUpDecisions();
       awaitsTime = scheduler.awaitsTime(now);
       heldBack = scheduler.heldBackCount();
--- a/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DirectListingTest.java
@@ -95,6 +95,18 @@
         .containsExactly(server.asLeaving(), Fixtures.server("s2", new ServiceName("llm")));
   }
 
+  // Guards against a drain that is counted anew, or not at all, by an entry without a leader.
+  @Example
+  void entryKeepsSinceWhenAServerLeavesButDoesNotGuessIt() {
+    GatewayServer known = Fixtures.server("s1", new ServiceName("llm"));
+    GatewayServer sound = Fixtures.server("s2", new ServiceName("llm"));
+    syncState.replaceServers(List.of(known.leavingSince(1000), sound));
+    listed = List.of(known.asLeaving(), sound.asLeaving());
+    run(listing(6), Duration.ofSeconds(3));
+    assertThat(syncState.servers())
+        .containsExactly(known.leavingSince(1000), sound.leavingSince(0));
+  }
+
   /** Guards against streams of a version that is not in the record of which versions serve. */
   @Example
   void serverWithAVersionThatNoLeaderHasListedIsLeftOut() {
--- a/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
+++ b/gateway/src/test/java/org/endivemux/gateway/Fixtures.java
@@ -93,7 +93,13 @@
   }
 
   static ServerPool pool(LongSupplier nanos, Scheduler timers) {
+    return pool(nanos, timers, Duration.ZERO);
+  }
+
+  /** Returns a pool for servers that serve for some time after they are listed as leaving. */
+  static ServerPool pool(LongSupplier nanos, Scheduler timers, Duration serverDrain) {
     ServerNotices notices = new ServerNotices(Duration.ofMinutes(1));
-    return new ServerPool(new FleetScheduler(DOMAIN, notices), notices, nanos, timers);
+    FleetScheduler scheduler = new FleetScheduler(DOMAIN, notices, serverDrain);
+    return new ServerPool(scheduler, notices, nanos, timers);
   }
 }
--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -57,6 +58,7 @@
   private int brokenPercent;
   private int enginesStarted;
   private int engineAddressOffset;
+  private Duration serverDrain = Duration.ofSeconds(3);
 
   GatewayFleet(int entryCount, int engineCount) {
     platform = new PlatformStandIn(at(8, PLATFORM_PORT), witness);
@@ -170,6 +172,12 @@
             .toList());
   }
 
+  /** Sets how long backend servers serve after they are listed as leaving; before the start. */
+  void serverDrain(Duration drain) {
+    serverDrain = drain;
+    writeSettings(true);
+  }
+
   /** Writes the settings of all VMs; only on a first start may voters bootstrap a new cluster. */
   void writeSettings(boolean mayForm) {
     String contacts =
@@ -204,6 +212,7 @@
             "retryWindowSeconds: 10",
             "retrySlack: 50",
             "drainSeconds: 4",
+            "serverDrainMillis: " + serverDrain.toMillis(),
             "entriesLifetimeSeconds: 1");
     try {
       Files.writeString(
--- a/integration/src/test/java/org/endivemux/integration/StreamReleaseTest.java
+++ b/integration/src/test/java/org/endivemux/integration/StreamReleaseTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -26,6 +27,9 @@
 
   private static final Pattern EVENT_VERSION = Pattern.compile("data: (v\\d)");
 
+  /** Longer than all steps before the resumptions take on a slow machine. */
+  private static final Duration DRAIN = Duration.ofSeconds(20);
+
   /** By this event, 30 ms each, the entry has polled and the leader has committed the start. */
   private static final int RECORDED_EVENTS = 30;
 
@@ -131,6 +135,54 @@
     }
   }
 
+  /**
+   * Guards against resumptions that are refused although servers of their version drain and still
+   * serve, and against requests that reach these servers after their drain.
+   */
+  @Example
+  void streamsGoOnWhileTheirVersionDrainsAndNotAfterwards() {
+    try (GatewayFleet fleet = new GatewayFleet(2, 2)) {
+      fleet.operator.streamTimeoutMillis(60_000);
+      fleet.serverDrain(DRAIN);
+      fleet.start();
+      list(fleet, engine -> true);
+      Await.until("both versions serve", () -> versionsServed(fleet).size() == 2);
+      List<Stream> streams =
+          abandonedStreams(fleet, 0).stream()
+              .filter(it -> it.last() >= RECORDED_EVENTS - 1)
+              .toList();
+
+      listOldAsDraining(fleet);
+      long listedAt = System.nanoTime();
+      Await.until("no new stream begins at v1", () -> versionsServed(fleet).equals(Set.of("v2")));
+      fleet.entries.get(0).kill();
+      List<Resumption> drained = streams.parallelStream().map(it -> resume(fleet, 1, it)).toList();
+      Await.until("the drain is over", () -> System.nanoTime() - listedAt > DRAIN.toNanos());
+      List<Resumption> late = streams.parallelStream().map(it -> resume(fleet, 1, it)).toList();
+
+      assertThat(streams).anyMatch(it -> it.isOf("v1")).anyMatch(it -> it.isOf("v2"));
+      assertThat(drained).allMatch(Resumption::goesOn);
+      assertThat(drained).allMatch(it -> it.after().versions().equals(it.before().versions()));
+      assertThat(late).allMatch(it -> it.before().isOf("v1") ? it.status() == 503 : it.goesOn());
+      assertThat(engines)
+          .filteredOn(engine -> engine.version().equals("v1"))
+          .allMatch(engine -> engine.lastArrivalNanos() - listedAt < DRAIN.toNanos());
+    } finally {
+      engines.forEach(StreamingEngineStandIn::close);
+    }
+  }
+
+  private void listOldAsDraining(GatewayFleet fleet) {
+    fleet.platform.updateServers(
+        engines.stream()
+            .map(
+                engine ->
+                    engine.version().equals("v1")
+                        ? engine.drainingItem("llm", "d0")
+                        : engine.listItem("llm", "d0"))
+            .toList());
+  }
+
   /** Begins streams at an entry; their callers leave early or late in their streams. */
   private static List<Stream> abandonedStreams(GatewayFleet fleet, int entry) {
     return IntStream.range(0, STREAMS)
@@ -174,7 +226,7 @@
   private static Set<String> versionsServedAt(GatewayFleet fleet, int entry) {
     return IntStream.range(0, PROBES)
         .parallel()
-        .mapToObj(i -> call(fleet, entry, "probe" + System.nanoTime(), "", "\n\nid: 2"))
+        .mapToObj(i -> call(fleet, entry, "probe" + System.nanoTime(), "", "id: 2\n"))
         .flatMap(text -> EVENT_VERSION.matcher(text).results())
         .map(version -> version.group(1))
         .collect(Collectors.toSet());
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
@@ -17,6 +17,9 @@
  *     connections; 0 if it was not, and from processes of an earlier version
  * @param version version of its software; empty if the platform does not state it, and from
  *     processes of an earlier version
+ * @param leavingSinceMillis true time in Unix milliseconds after which the platform first listed it
+ *     as leaving: when it was last read as not leaving; 0 if it does not leave, if that time is not
+ *     known, and from processes of an earlier version
  */
 public record GatewayServer(
     BackendServerId id,
@@ -28,7 +31,8 @@
     ServerKind kind,
     long coldUntilMillis,
     @JsonInclude(JsonInclude.Include.NON_DEFAULT) long refusedAtMillis,
-    @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<SoftwareVersion> version) {
+    @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<SoftwareVersion> version,
+    @JsonInclude(JsonInclude.Include.NON_DEFAULT) long leavingSinceMillis) {
   public GatewayServer {
     version = version == null ? Optional.empty() : version;
   }
@@ -42,34 +46,42 @@
       int slots,
       boolean leaving,
       ServerKind kind) {
-    this(id, service, address, failureDomain, slots, leaving, kind, 0, 0, Optional.empty());
+    this(id, service, address, failureDomain, slots, leaving, kind, 0, 0, Optional.empty(), 0);
   }
 
   /** Returns the same server, which accepts no new requests. */
   public GatewayServer asLeaving() {
-    return with(true, coldUntilMillis, refusedAtMillis, version);
+    return with(true, coldUntilMillis, refusedAtMillis, version, leavingSinceMillis);
+  }
+
+  /**
+   * Returns the same server, which accepts no new requests since a true time in Unix milliseconds.
+   */
+  public GatewayServer leavingSince(long millis) {
+    return with(true, coldUntilMillis, refusedAtMillis, version, millis);
   }
 
   /** Returns the same server, which is cold until a true time in Unix milliseconds. */
   public GatewayServer coldUntil(long millis) {
-    return with(leaving, millis, refusedAtMillis, version);
+    return with(leaving, millis, refusedAtMillis, version, leavingSinceMillis);
   }
 
   /** Returns the same server, which refused a connection at a true time in Unix milliseconds. */
   public GatewayServer refusedAt(long millis) {
-    return with(leaving, coldUntilMillis, millis, version);
+    return with(leaving, coldUntilMillis, millis, version, leavingSinceMillis);
   }
 
   /** Returns the same server with a version of its software. */
   public GatewayServer withVersion(Optional<SoftwareVersion> newVersion) {
-    return with(leaving, coldUntilMillis, refusedAtMillis, newVersion);
+    return with(leaving, coldUntilMillis, refusedAtMillis, newVersion, leavingSinceMillis);
   }
 
   private GatewayServer with(
       boolean newLeaving,
       long newColdUntilMillis,
       long newRefusedAtMillis,
-      Optional<SoftwareVersion> newVersion) {
+      Optional<SoftwareVersion> newVersion,
+      long newLeavingSinceMillis) {
     return new GatewayServer(
         id,
         service,
@@ -80,6 +92,7 @@
         kind,
         newColdUntilMillis,
         newRefusedAtMillis,
-        newVersion);
+        newVersion,
+        newLeavingSinceMillis);
   }
 }
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetJob.java
@@ -63,6 +63,11 @@
         Optional.empty());
   }
 
+  /** Returns whether the job continues a stream that servers of one version began. */
+  boolean continuesStream() {
+    return version.isPresent();
+  }
+
   /** Returns whether the version of a server's software allows it to run the job. */
   boolean isVersionAllowed(GatewayServer server) {
     return version.isEmpty() || version.equals(server.version());
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetScheduler.java
@@ -1,5 +1,6 @@
 package org.endivemux.routing.fleet;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -25,18 +26,20 @@
  * Binds requests to the backend servers of the listed services.
  *
  * <p>Does no I/O and reads no clock: monotonic nanoseconds are passed in. Invariants: a server that
- * is leaving or paused, is in an evacuated domain or that the job avoids gets nothing, and one in
- * backoff gets nothing while another has capacity; a job that continues a stream goes only to
- * servers of the version that began it; a cold one gets what {@link WarmUpLimit} allows, and one
- * that has stated a limit what {@link StatedLimits} allows; waiting jobs are bound by urgency,
- * then, under overload protection, by fair shares of the organisations, and then by arrival. Not
- * thread-safe: one caller at a time.
+ * is paused, is in an evacuated domain or that the job avoids gets nothing, and one in backoff gets
+ * nothing while another has capacity; a job that continues a stream goes only to servers of the
+ * version that began it, and only such a job goes to a server that leaves, while {@link
+ * ServerDrains} allows it and no other server may run it; a cold one gets what {@link WarmUpLimit}
+ * allows, and one that has stated a limit what {@link StatedLimits} allows; waiting jobs are bound
+ * by urgency, then, under overload protection, by fair shares of the organisations, and then by
+ * arrival. Not thread-safe: one caller at a time.
  */
 public final class FleetScheduler {
   private final ServerNotices notices;
   private final WarmUpLimit warmUp;
   private final StatedLimits statedLimits;
   private final FleetServers servers;
+  private final ServerDrains drains;
   private final SlotLimits limits;
   private final ServerChooser chooser;
   private final EngineAdmissions admissions;
@@ -46,7 +49,22 @@
 
   /** Creates a scheduler for servers without a warm-up, without overload protection. */
   public FleetScheduler(FailureDomain domain, ServerNotices notices) {
-    this(domain, notices, WarmUpLimit.withoutEntries(), OverloadProtection.off());
+    this(domain, notices, Duration.ZERO);
+  }
+
+  /**
+   * Creates a scheduler for servers without a warm-up, without overload protection.
+   *
+   * @param serverDrain how long a server serves after it is first listed as leaving
+   */
+  public FleetScheduler(FailureDomain domain, ServerNotices notices, Duration serverDrain) {
+    this(
+        domain,
+        notices,
+        serverDrain,
+        WarmUpLimit.withoutEntries(),
+        StatedLimits.withoutEntries(),
+        OverloadProtection.off());
   }
 
   /** Creates a scheduler that sends nothing to servers that have stated a limit. */
@@ -55,20 +73,26 @@
       ServerNotices notices,
       WarmUpLimit warmUp,
       OverloadProtection protection) {
-    this(domain, notices, warmUp, StatedLimits.withoutEntries(), protection);
+    this(domain, notices, Duration.ZERO, warmUp, StatedLimits.withoutEntries(), protection);
   }
 
-  /** Creates a scheduler; {@code warmUp} and {@code statedLimits} are used by no other one. */
+  /**
+   * Creates a scheduler; {@code warmUp} and {@code statedLimits} are used by no other one.
+   *
+   * @param serverDrain how long a server serves after it is first listed as leaving
+   */
   public FleetScheduler(
       FailureDomain domain,
       ServerNotices notices,
+      Duration serverDrain,
       WarmUpLimit warmUp,
       StatedLimits statedLimits,
       OverloadProtection protection) {
     this.notices = notices;
     this.warmUp = warmUp;
     this.statedLimits = statedLimits;
-    this.servers = new FleetServers(notices);
+    this.drains = new ServerDrains(serverDrain, notices);
+    this.servers = new FleetServers(notices, drains);
     this.limits = new SlotLimits(notices, warmUp, statedLimits);
     this.chooser = new ServerChooser(domain, servers, limits, warmUp, speeds, protection);
     this.admissions = chooser.admissions();
@@ -94,6 +118,7 @@
    */
   public void updateServers(List<GatewayServer> listed, long now, long trueMillis) {
     warmUp.updateServers(listed, now, trueMillis);
+    drains.updateServers(listed, now, trueMillis);
     updateServers(listed);
   }
 
@@ -120,9 +145,10 @@
     return warmUp.coldCount(now);
   }
 
-  /** Returns whether jobs wait that may be bound by the passing of time alone. */
+  /** Returns whether jobs wait that the passing of time alone may bind, or leave no server. */
   public boolean awaitsTime(long now) {
-    return !waiting.isEmpty() && (warmUp.isWarmingUp(now) || statedLimits.isLimiting());
+    return !waiting.isEmpty()
+        && (warmUp.isWarmingUp(now) || statedLimits.isLimiting() || waiting.hasAnyOfOneVersion());
   }
 
   /**
@@ -155,7 +181,8 @@
 
   /**
    * Removes and returns the waiting jobs of services whose servers are all evacuated or leaving;
-   * without an evacuation there are none.
+   * without an evacuation there are none. Jobs of one version are left to {@link
+   * #removeWithoutVersion}.
    */
   public List<FleetJob> removeEvacuated() {
     return waiting.removeAll(servers::isEvacuated);
@@ -165,13 +192,14 @@
    * Removes and returns the waiting jobs that only servers of one version may run, of which none is
    * left.
    */
-  public List<FleetJob> removeWithoutVersion() {
-    return waiting.removeOfOneVersion(job -> !chooser.hasServer(job));
+  public List<FleetJob> removeWithoutVersion(long now) {
+    return waiting.removeOfOneVersion(job -> !chooser.hasServer(job, now));
   }
 
   /** Returns whether a server may still get a job that was bound to it. */
-  public boolean isOpen(GatewayServer server) {
-    return servers.isOpen(server);
+  public boolean isOpen(Binding binding, long now) {
+    return servers.isOpen(binding.server())
+        || (binding.job().continuesStream() && servers.isDrainingAsKnown(binding.server(), now));
   }
 
   /** Queues a job until {@link #bind} selects its server. */
@@ -257,6 +285,7 @@
     }
     return chooser
         .choose(job, now)
+        .filter(load -> servers.isOpen(load.server()))
         .filter(load -> !load.isBackingOff(now) && load.total(now) < SlotLimits.slots(load))
         .filter(
             load ->
--- a/routing/src/main/java/org/endivemux/routing/fleet/FleetServers.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/FleetServers.java
@@ -28,13 +28,15 @@
   private static final String ALL_OTHER_ENTRIES = "all others";
 
   private final ServerNotices notices;
+  private final ServerDrains drains;
   private final Map<ServiceName, ServiceSpec> specs = new HashMap<>();
   private final Map<BackendServerId, ServerLoad> servers = new TreeMap<>();
   private Set<FailureDomain> evacuated = Set.of();
 
   /** Creates an empty list; servers that leave by {@code notices} are not open. */
-  FleetServers(ServerNotices notices) {
+  FleetServers(ServerNotices notices, ServerDrains drains) {
     this.notices = notices;
+    this.drains = drains;
   }
 
   /** Replaces the declared services. */
@@ -76,7 +78,7 @@
         && servers.values().stream()
             .map(ServerLoad::server)
             .filter(server -> server.service().equals(service))
-            .anyMatch(server -> evacuated.contains(server.failureDomain()));
+            .anyMatch(this::isEvacuated);
   }
 
   /** Returns the listed servers, those included that get no new requests. */
@@ -94,19 +96,40 @@
         .filter(load -> load.server().service().equals(service) && !isLeaving(load.server()));
   }
 
+  /** Returns the servers of a service that leave, but still serve and are not evacuated. */
+  Stream<ServerLoad> drainingServers(ServiceName service, long now) {
+    return servers.values().stream()
+        .filter(load -> load.server().service().equals(service))
+        .filter(load -> isDraining(load.server(), now));
+  }
+
   /** Returns whether a server is listed as known, and neither leaving nor evacuated. */
   boolean isOpen(GatewayServer server) {
-    ServerLoad load = servers.get(server.id());
-    return load != null
-        && !isLeaving(load.server())
-        && load.server().address().equals(server.address())
-        && load.server().version().equals(server.version());
+    return listedAs(server).filter(listed -> !isLeaving(listed)).isPresent();
+  }
+
+  /** Returns whether a server is listed as known, leaves, but still serves and is not evacuated. */
+  boolean isDrainingAsKnown(GatewayServer server, long now) {
+    return listedAs(server).filter(listed -> isDraining(listed, now)).isPresent();
+  }
+
+  private Optional<GatewayServer> listedAs(GatewayServer server) {
+    return find(server.id())
+        .map(ServerLoad::server)
+        .filter(listed -> listed.address().equals(server.address()))
+        .filter(listed -> listed.version().equals(server.version()));
+  }
+
+  private boolean isDraining(GatewayServer server, long now) {
+    return !isEvacuated(server) && drains.isServing(server, now);
   }
 
   private boolean isLeaving(GatewayServer server) {
-    return server.leaving()
-        || evacuated.contains(server.failureDomain())
-        || notices.isLeaving(server.id());
+    return server.leaving() || isEvacuated(server) || notices.isLeaving(server.id());
+  }
+
+  private boolean isEvacuated(GatewayServer server) {
+    return evacuated.contains(server.failureDomain());
   }
 
   /** Replaces what a peer has in flight; a server that it does not name has nothing from it. */
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerChooser.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerChooser.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceName;
@@ -12,10 +13,11 @@
  * Chooses the server of a job among those that have room for it.
  *
  * <p>Invariants: a server that the job avoids, or whose version began another stream than the
- * job's, is never chosen, and one in backoff only if no other has room. In a fleet of many entries,
- * whose load is known as sums that are some hundred milliseconds old, only the job's preferred
- * servers and a few servers sampled by its id are compared. Holds the learnt prefill rate of each
- * service. Not thread-safe.
+ * job's, is never chosen, and one in backoff only if no other has room; one that leaves is chosen
+ * only for a job that continues a stream and that no open server may run. In a fleet of many
+ * entries, whose load is known as sums that are some hundred milliseconds old, only the job's
+ * preferred servers and a few servers sampled by its id are compared. Holds the learnt prefill rate
+ * of each service. Not thread-safe.
  */
 final class ServerChooser {
   private final ServerSelection selection;
@@ -53,24 +55,34 @@
 
   /** Returns the server of a job, or empty if none has room. */
   Optional<ServerLoad> choose(FleetJob job, long now) {
-    List<ServerLoad> open =
-        servers
-            .openServers(job.service())
-            .filter(load -> isAllowed(job, load))
-            .filter(load -> hasRoom(job, load, now))
-            .toList();
-    List<ServerLoad> available = open.stream().filter(load -> !load.isBackingOff(now)).toList();
-    List<ServerLoad> candidates = available.isEmpty() ? open : available;
+    List<ServerLoad> withRoom =
+        allowedServers(job, now).filter(load -> hasRoom(job, load, now)).toList();
+    List<ServerLoad> available = withRoom.stream().filter(load -> !load.isBackingOff(now)).toList();
+    List<ServerLoad> candidates = available.isEmpty() ? withRoom : available;
     return choose(job, candidates, now);
   }
 
-  /** Returns whether a job may run at a server that is open, now or when it has room. */
+  /**
+   * Returns the servers that may run a job: the open ones or, if there are none, the leaving ones
+   * that still serve. Only a stream that another server began may need those.
+   */
+  private Stream<ServerLoad> allowedServers(FleetJob job, long now) {
+    return !job.continuesStream() || hasOpenServer(job)
+        ? servers.openServers(job.service()).filter(load -> isAllowed(job, load))
+        : servers.drainingServers(job.service(), now).filter(load -> isAllowed(job, load));
+  }
+
+  /** Returns whether nothing in the job itself excludes a server. */
   private static boolean isAllowed(FleetJob job, ServerLoad load) {
     return job.isVersionAllowed(load.server()) && !job.avoid().contains(load.server().id());
   }
 
-  /** Returns whether a job may run at any open server, now or when one has room. */
-  boolean hasServer(FleetJob job) {
+  /** Returns whether a job may run at any server, now or when one has room. */
+  boolean hasServer(FleetJob job, long now) {
+    return allowedServers(job, now).findAny().isPresent();
+  }
+
+  private boolean hasOpenServer(FleetJob job) {
     return servers.openServers(job.service()).anyMatch(load -> isAllowed(job, load));
   }
 
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerNotices.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerNotices.java
@@ -12,9 +12,9 @@
  * Holds what backend servers have said of themselves in their responses: that they leave, or that
  * they want no requests for some time.
  *
- * <p>Invariants: a server that leaves gets nothing more under its id, whatever the platform's list
- * says; a paused server gets nothing until the end of its pause, and then a share of its slots that
- * grows to all of them within {@link #RESUMPTION_NANOS}. Does no I/O and reads no clock: monotonic
+ * <p>Invariants: a server that leaves stays so under its id, whatever the platform's list says; a
+ * paused server gets nothing until the end of its pause, and then a share of its slots that grows
+ * to all of them within {@link #RESUMPTION_NANOS}. Does no I/O and reads no clock: monotonic
  * nanoseconds are passed in. Not thread-safe.
  */
 public final class ServerNotices {
@@ -48,11 +48,8 @@
     return pausedUntil.merge(server, end, Math::max);
   }
 
-  /** Returns how many of a server's slots may be used. */
+  /** Returns how many of a server's slots its pause leaves, whether it leaves or not. */
   int usableSlots(BackendServerId server, int slots, long now) {
-    if (leavingSince.containsKey(server)) {
-      return 0;
-    }
     Long end = pausedUntil.get(server);
     if (end == null) {
       return slots;
@@ -72,6 +69,12 @@
     return leavingSince.containsKey(server);
   }
 
+  /** Returns when a server first said that it leaves, in monotonic nanoseconds, if it did. */
+  OptionalLong leavingSince(BackendServerId server) {
+    Long since = leavingSince.get(server);
+    return since == null ? OptionalLong.empty() : OptionalLong.of(since);
+  }
+
   /** Returns the servers that have said that they leave. */
   public List<BackendServerId> leaving() {
     return leavingSince.keySet().stream().sorted().toList();
--- a/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/WaitingJobs.java
@@ -1,6 +1,5 @@
 package org.endivemux.routing.fleet;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -74,21 +73,23 @@
     return removed;
   }
 
-  /** Removes and returns all jobs of the services that match. */
+  /** Removes and returns all jobs of the services that match, but those of one version. */
   List<FleetJob> removeAll(Predicate<ServiceName> matches) {
-    List<FleetJob> removed = new ArrayList<>();
-    queues.forEach(
-        (service, queue) -> {
-          if (!queue.isEmpty() && matches.test(service)) {
-            removed.addAll(queue);
-            queue.clear();
-          }
-        });
-    removed.forEach(job -> ofOneVersion.remove(job.id()));
-    removed.forEach(this::cancelTurn);
+    List<FleetJob> removed =
+        queues.entrySet().stream()
+            .filter(queue -> !queue.getValue().isEmpty() && matches.test(queue.getKey()))
+            .flatMap(queue -> queue.getValue().stream())
+            .filter(job -> !ofOneVersion.containsKey(job.id()))
+            .toList();
+    removed.forEach(this::remove);
     return removed;
   }
 
+  /** Returns whether jobs wait that only servers of one version may run. */
+  boolean hasAnyOfOneVersion() {
+    return !ofOneVersion.isEmpty();
+  }
+
   /** Removes and returns the jobs that match, of those that only servers of one version may run. */
   List<FleetJob> removeOfOneVersion(Predicate<FleetJob> matches) {
     List<FleetJob> removed = ofOneVersion.values().stream().filter(matches).toList();
--- a/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
@@ -53,6 +53,11 @@
         version);
   }
 
+  private boolean isOpen(GatewayServer server) {
+    Binding binding = new Binding(job("j", Optional.empty()), server, Optional.empty(), 0);
+    return scheduler.isOpen(binding, 0);
+  }
+
   private List<String> bind() {
     return scheduler.bind(0).stream()
         .map(binding -> binding.job().id().value() + " at " + binding.server().id())
@@ -68,7 +73,7 @@
     scheduler.offer(job("b", Optional.empty()));
 
     assertThat(bind()).containsExactly("a1 at old", "a2 at old", "b at new");
-    assertThat(scheduler.removeWithoutVersion()).isEmpty();
+    assertThat(scheduler.removeWithoutVersion(0)).isEmpty();
   }
 
   /** Guards against a caller that waits for a version which no server has any more. */
@@ -81,7 +86,7 @@
 
     scheduler.updateServers(List.of(server("old", OLD).asLeaving(), server("new", NEW)));
 
-    assertThat(scheduler.removeWithoutVersion())
+    assertThat(scheduler.removeWithoutVersion(0))
         .extracting(FleetJob::id)
         .containsExactly(new RequestId("a" + (SLOTS + 1)));
     assertThat(bind()).isEmpty();
@@ -91,13 +96,13 @@
   @Example
   void serverThatLeftAfterTheBindingIsNoLongerOpen() {
     scheduler.updateServers(List.of(server("s", OLD)));
-    assertThat(scheduler.isOpen(server("s", OLD))).isTrue();
+    assertThat(isOpen(server("s", OLD))).isTrue();
 
-    assertThat(scheduler.isOpen(server("s", NEW))).isFalse();
+    assertThat(isOpen(server("s", NEW))).isFalse();
     scheduler.updateServers(List.of(server("s", OLD).asLeaving()));
-    assertThat(scheduler.isOpen(server("s", OLD))).isFalse();
+    assertThat(isOpen(server("s", OLD))).isFalse();
     scheduler.updateServers(List.of());
-    assertThat(scheduler.isOpen(server("s", OLD))).isFalse();
+    assertThat(isOpen(server("s", OLD))).isFalse();
   }
 
   /** Guards against a job that waits although a server has room, since another one avoids it. */
