--- a/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewayFleet.java
@@ -6,9 +6,15 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -33,10 +39,16 @@
   private static final int READINESS_PORT = 8220;
   private static final int OPERATOR_PORT = 8229;
   private static final int VOTERS = 3;
+  private static final int FIRST_VM_NUMBER = 10;
 
   /** Added to the last octet of the proxy's address to get the process's own address. */
   private static final int REAL_ADDRESS_OFFSET = 100;
 
+  private static final Pattern LEADS = Pattern.compile("leads\\S* 1(\\.0)?\n");
+  private static final Pattern MEMBERSHIP =
+      Pattern.compile(
+          "event=membership_committed term=\\d+ index=(\\d+) voters=(\\S+) learners=(\\S*) ");
+
   /** Each fleet of a test process has its own loopback network. */
   private static final AtomicInteger NEXT_NETWORK = new AtomicInteger();
 
@@ -49,6 +61,7 @@
   final List<EngineStandIn> engines = new ArrayList<>();
   final List<FaultProxy> engineProxies = new ArrayList<>();
   final List<FaultProxy> peerProxies = new ArrayList<>();
+  private final Map<Vm, Integer> vmNumbers = new HashMap<>();
   final PlatformStandIn platform;
   final FaultProxy platformProxy;
   final Path logs = createFolder();
@@ -57,6 +70,8 @@
   private List<BrokenAnswer> brokenAnswers = List.of();
   private int brokenPercent;
   private int enginesStarted;
+  private int lostVoters;
+  private int nextVmNumber = FIRST_VM_NUMBER;
   private int engineAddressOffset;
   private Duration serverDrain = Duration.ofSeconds(3);
 
@@ -88,7 +103,9 @@
   }
 
   private Vm vm(String name) {
-    return new Vm(name, 0, PEER_PORT, logs, "--gateway-settings");
+    Vm vm = new Vm(name, 0, PEER_PORT, logs, "--gateway-settings");
+    vmNumbers.put(vm, nextVmNumber++);
+    return vm;
   }
 
   /** Returns all VMs, the voters first. */
@@ -97,7 +114,61 @@
   }
 
   private int number(Vm vm) {
-    return 10 + vms().indexOf(vm);
+    return vmNumbers.get(vm);
+  }
+
+  /**
+   * Loses a voter with its disk for good and starts a successor with an empty disk at a new
+   * address, which knows the voters of before.
+   */
+  void replaceVoter(int index) {
+    String contacts = contacts();
+    voters.get(index).lose();
+    peerProxies.get(index).close();
+    lostVoters++;
+    Vm successor = vm("voter" + (VOTERS + lostVoters));
+    voters.set(index, successor);
+    peerProxies.set(index, peerProxy(successor));
+    writeSettings(successor, contacts, false);
+    successor.start();
+  }
+
+  /** Returns the index of the voter that leads, if one says so. */
+  Optional<Integer> leader() {
+    return IntStream.range(0, voters.size())
+        .boxed()
+        .filter(index -> voters.get(index).isRunning())
+        .filter(index -> LEADS.matcher(metrics(voters.get(index))).find())
+        .findFirst();
+  }
+
+  private String metrics(Vm voter) {
+    return Http.call("GET", "http://" + operatorAddress(voter) + "/metrics", "", Map.of(), "")
+        .body();
+  }
+
+  /** Returns the index of the newest log entry that holds a membership; 0 if there is none. */
+  long membershipIndex() {
+    return newestMembership().map(committed -> Long.parseLong(committed.group(1))).orElse(0L);
+  }
+
+  /** Returns whether exactly the present voters are members, by a change after a log entry. */
+  boolean isWholeAfter(long index) {
+    Set<String> present =
+        voters.stream()
+            .map(voter -> network + number(voter) + ":" + PEER_PORT)
+            .collect(Collectors.toSet());
+    return newestMembership()
+        .filter(committed -> Long.parseLong(committed.group(1)) > index)
+        .filter(committed -> Set.of(committed.group(2).split(",")).equals(present))
+        .filter(committed -> committed.group(3).isEmpty())
+        .isPresent();
+  }
+
+  private Optional<MatchResult> newestMembership() {
+    return voters.stream()
+        .flatMap(voter -> MEMBERSHIP.matcher(voter.logText()).results())
+        .max(Comparator.comparingLong(committed -> Long.parseLong(committed.group(1))));
   }
 
   private FaultProxy peerProxy(Vm vm) {
@@ -180,13 +251,16 @@
 
   /** Writes the settings of all VMs; only on a first start may voters bootstrap a new cluster. */
   void writeSettings(boolean mayForm) {
-    String contacts =
-        voters.stream()
-            .map(voter -> "\"" + network + number(voter) + ":" + OPERATOR_PORT + "\"")
-            .collect(Collectors.joining(", "));
+    String contacts = contacts();
     vms().forEach(vm -> writeSettings(vm, contacts, mayForm));
   }
 
+  private String contacts() {
+    return voters.stream()
+        .map(voter -> "\"" + network + number(voter) + ":" + OPERATOR_PORT + "\"")
+        .collect(Collectors.joining(", "));
+  }
+
   private void writeSettings(Vm vm, String contacts, boolean mayForm) {
     String listenHost = network + (number(vm) + REAL_ADDRESS_OFFSET);
     Stream<String> roles =
@@ -200,7 +274,7 @@
     Stream<String> common =
         Stream.of(
             "vm: " + vm.name,
-            "failureDomain: d" + vms().indexOf(vm) % 3,
+            "failureDomain: d" + (number(vm) - FIRST_VM_NUMBER) % 3,
             "host: " + network + number(vm),
             "listenHost: " + listenHost,
             "peerPort: " + PEER_PORT,
--- a/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
+++ b/integration/src/test/java/org/endivemux/integration/GatewaySoak.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -23,8 +24,8 @@
  * and returns the violated invariants.
  *
  * <p>The seed determines the faults, their targets and their order; the timing of requests relative
- * to them varies between runs. At most one disk is lost, the number that the fleet tolerates. Used
- * by one thread.
+ * to them varies between runs. At most one disk is lost at a time, the number that the fleet
+ * tolerates; the next may be lost once it has been replaced. Used by one thread.
  */
 final class GatewaySoak {
   /** Number of faults in one run. */
@@ -46,6 +47,9 @@
   private static final int MIN_STEP_MILLIS = 200;
   private static final int STEP_SPREAD_MILLIS = 900;
 
+  /** A voter is replaced in one of so many steps, if the one before has been repaired. */
+  private static final int STEPS_PER_REPLACEMENT = 4;
+
   private static final List<RouteKind> KINDS = List.of(RouteKind.values());
   private static final List<SoakFault> FAULTS = List.of(SoakFault.values());
 
@@ -59,10 +63,19 @@
   private final AtomicLong version = new AtomicLong(1);
   private boolean diskLost;
 
+  /**
+   * Draws replacements of voters apart from the faults, whose recorded seeds keep their meaning.
+   */
+  private final Random replacements;
+
+  /** Newest membership when the last disk was lost, until the loss is repaired. */
+  private OptionalLong lossAfterIndex = OptionalLong.empty();
+
   GatewaySoak(long seed, int steps) {
     this.seed = seed;
     this.steps = steps;
     this.random = new Random(seed);
+    this.replacements = new Random(seed * 19);
   }
 
   /** Returns the violations; throws {@link AssertionError} if the fleet does not recover. */
@@ -153,10 +166,10 @@
   }
 
   private void runStep() {
+    replaceVoterSometimes();
     if (random.nextInt(8) == 0 && !diskLost) {
       diskLost = true;
-      faultHistory.add("DISK_LOST");
-      fleet.voters.get(random.nextInt(fleet.voters.size())).loseDisk();
+      loseDisk(random.nextInt(fleet.voters.size()));
     } else {
       SoakFault fault = FAULTS.get(random.nextInt(FAULTS.size()));
       faultHistory.add(fault.name());
@@ -168,6 +181,38 @@
     }
   }
 
+  private void loseDisk(int voter) {
+    if (mayLoseDisk()) {
+      faultHistory.add("DISK_LOST");
+      diskIsLost();
+      fleet.voters.get(voter).loseDisk();
+    }
+  }
+
+  private void replaceVoterSometimes() {
+    if (replacements.nextInt(STEPS_PER_REPLACEMENT) == 0 && mayLoseDisk()) {
+      int voter =
+          replacements.nextBoolean()
+              ? fleet.leader().orElse(0)
+              : replacements.nextInt(fleet.voters.size());
+      faultHistory.add("VOTER_REPLACED");
+      diskIsLost();
+      fleet.replaceVoter(voter);
+    }
+  }
+
+  /** Returns whether the disk that was lost last has been replaced as a voter. */
+  private boolean mayLoseDisk() {
+    if (lossAfterIndex.isPresent() && fleet.isWholeAfter(lossAfterIndex.getAsLong())) {
+      lossAfterIndex = OptionalLong.empty();
+    }
+    return lossAfterIndex.isEmpty();
+  }
+
+  private void diskIsLost() {
+    lossAfterIndex = OptionalLong.of(fleet.membershipIndex());
+  }
+
   private void heal() {
     fleet.breakAnswers(List.of(), 0);
     recoveries.forEach(Runnable::run);
@@ -197,6 +242,7 @@
     try (CallerStandIn caller = new CallerStandIn("s" + seed + "last", fleet.witness)) {
       fleet.entries.forEach(entry -> awaitServed(caller, entry));
     }
+    Await.until("the lost disks are replaced as voters", this::mayLoseDisk);
     Await.until("a usage report", () -> fleet.platform.reportedRequests() > 0);
   }
 
--- a/integration/src/test/java/org/endivemux/integration/Vm.java
+++ b/integration/src/test/java/org/endivemux/integration/Vm.java
@@ -19,6 +19,7 @@
   private Runnable onStart = () -> {};
   private Process process;
   private boolean shouldBeRunning;
+  private boolean isLost;
 
   Vm(String name, int httpPort, int peerPort, Path folder) {
     this(name, httpPort, peerPort, folder, "--settings");
@@ -102,6 +103,9 @@
   }
 
   private void start(List<String> launcher, ProcessBuilder.Redirect output) {
+    if (isLost) {
+      return;
+    }
     shouldBeRunning = true;
     onStart.run();
     Stream<String> java =
@@ -146,6 +150,12 @@
     }
   }
 
+  /** Kills the process for good; it is not started again. */
+  void lose() {
+    kill();
+    isLost = true;
+  }
+
   void terminate() {
     shouldBeRunning = false;
     process.destroy();
