Take the list's lag off the start of a drain, and read it more often

The list may lag by 0.8 s at each reading, so a server that the last reading showed as ready may have been listed as leaving that much earlier. A new leader without samples of the entries' clocks could give a time by its own wrong clock. Change: the drain counts from that reading less the lag (serverListLagMillis, 800 if absent); a leader gives no times in the first second of its term; an entry never moves a known end to a later time. Result: three new cases, green; they were not run with the parts taken out.

--- a/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
+++ b/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
@@ -42,6 +42,18 @@
   /** Shorter than the lag of the platform's list, so that the interval adds little to it. */
   private static final long LIST_INTERVAL_NANOS = Duration.ofMillis(700).toNanos();
 
+  /**
+   * Interval while several versions of a service are listed: the sooner the leader reads that a
+   * server leaves, the longer streams of its version may go on there.
+   */
+  private static final long RELEASE_LIST_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
+
+  /** A longer list takes several calls, whose number the platform limits. */
+  private static final int MAX_SERVERS_OF_A_RELEASE_INTERVAL = 100;
+
+  /** A new leader's estimate of true time may be its own clock alone until entries have polled. */
+  private static final long TRUE_TIME_SETTLING_NANOS = Duration.ofSeconds(1).toNanos();
+
   private static final long ORDER_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
   /** An unchanged order is repeated after this, because the platform's response may be lost. */
@@ -170,12 +182,12 @@
   }
 
   private Mono<Void> readList() {
-    if (clocks.nanos() - listReadAt < LIST_INTERVAL_NANOS) {
+    if (clocks.nanos() - listReadAt < listIntervalNanos()) {
       return Mono.empty();
     }
     listReadAt = clocks.nanos();
     long term = leaderTerm;
-    long askedAtMillis = time.millis();
+    OptionalLong askedAtMillis = trueMillisIfSettled();
     return platform
         .servers()
         .flatMap(
@@ -187,10 +199,22 @@
         .then();
   }
 
+  private long listIntervalNanos() {
+    boolean isShort = directory.servers().size() <= MAX_SERVERS_OF_A_RELEASE_INTERVAL;
+    return isShort && directory.hasMixedVersions()
+        ? RELEASE_LIST_INTERVAL_NANOS
+        : LIST_INTERVAL_NANOS;
+  }
+
+  private OptionalLong trueMillisIfSettled() {
+    boolean isSettled = clocks.nanos() - leaderSince > TRUE_TIME_SETTLING_NANOS;
+    return isSettled ? OptionalLong.of(time.millis()) : OptionalLong.empty();
+  }
+
   private void applyList(
       long term,
       ServerListing listing,
-      long askedAtMillis,
+      OptionalLong askedAtMillis,
       Map<BackendServerId, Long> recordedLeaving) {
     boolean isChanged =
         directory.replace(term, listing, time.millis(), askedAtMillis, recordedLeaving);
--- a/control/src/main/java/org/endivemux/control/voter/LeavingTimes.java
+++ b/control/src/main/java/org/endivemux/control/voter/LeavingTimes.java
@@ -1,25 +1,36 @@
 package org.endivemux.control.voter;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 
 /**
- * Tracks after which time each backend server began to leave: when it was last read as not leaving.
+ * Tracks after which time each backend server began to leave: when it was last read as not leaving,
+ * less the lag of the platform's list.
  *
- * <p>Invariants: that time is never later than the moment at which the platform first listed the
- * server as leaving, and stays the same while it leaves; a server that was never read as not
+ * <p>Invariants: that time is never later than the moment at which the platform could first list
+ * the server as leaving, and stays the same while it leaves; a server that was never read as not
  * leaving has a time only if an earlier leader has recorded one. Times are true time in Unix
  * milliseconds. Not thread-safe.
  */
 final class LeavingTimes {
+  private final long listLagMillis;
   private final Map<BackendServerId, Long> lastSoundMillis = new HashMap<>();
   private final Map<BackendServerId, Long> sinceMillis = new HashMap<>();
 
+  /**
+   * @param listLag by how much a reading of the platform's list may be out of date
+   */
+  LeavingTimes(Duration listLag) {
+    this.listLagMillis = listLag.toMillis();
+  }
+
   /** Forgets everything, since a new term begins. */
   void clear() {
     lastSoundMillis.clear();
@@ -29,10 +40,14 @@
   /**
    * Updates the times from a reading.
    *
-   * @param askedAtMillis when the list was asked for
+   * @param askedAtMillis when the list was asked for; empty while that is not known well enough, so
+   *     that no server gets a time
    * @param recorded times that earlier leaders recorded
    */
-  void read(List<GatewayServer> servers, long askedAtMillis, Map<BackendServerId, Long> recorded) {
+  void read(
+      List<GatewayServer> servers,
+      OptionalLong askedAtMillis,
+      Map<BackendServerId, Long> recorded) {
     retainListed(servers);
     servers.forEach(server -> update(server, askedAtMillis, recorded));
   }
@@ -44,14 +59,14 @@
   }
 
   private void update(
-      GatewayServer server, long askedAtMillis, Map<BackendServerId, Long> recorded) {
+      GatewayServer server, OptionalLong askedAtMillis, Map<BackendServerId, Long> recorded) {
     BackendServerId id = server.id();
     if (!server.leaving()) {
-      lastSoundMillis.put(id, askedAtMillis);
+      askedAtMillis.ifPresent(askedAt -> lastSoundMillis.put(id, askedAt - listLagMillis));
       sinceMillis.remove(id);
     } else if (lastSoundMillis.containsKey(id)) {
       began(id);
-    } else if (recorded.containsKey(id)) {
+    } else if (askedAtMillis.isPresent() && recorded.containsKey(id)) {
       sinceMillis.putIfAbsent(id, recorded.get(id));
     }
   }
--- a/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerDirectory.java
@@ -1,5 +1,6 @@
 package org.endivemux.control.voter;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -7,8 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServerListUpdate;
@@ -36,24 +39,36 @@
   private final Map<Long, ServerListUpdate> updates = new HashMap<>();
 
   private final Set<BackendServerId> reportedLeaving = new HashSet<>();
-  private final LeavingTimes leavingTimes = new LeavingTimes();
+  private final LeavingTimes leavingTimes;
   private List<GatewayServer> servers = List.of();
   private long term = -1;
   private long changes;
 
+  /** Creates a directory of a list that never lags. */
+  public ServerDirectory() {
+    this(Duration.ZERO);
+  }
+
+  /**
+   * @param listLag by how much a reading of the platform's list may be out of date
+   */
+  public ServerDirectory(Duration listLag) {
+    this.leavingTimes = new LeavingTimes(listLag);
+  }
+
   /**
    * Replaces the list; returns whether it differs from the previous one. A server whose entry
    * cannot be read stays as it was in this term.
    *
    * @param nowMillis true time at which the listing was received, in Unix milliseconds
-   * @param askedAtMillis true time at which it was asked for
+   * @param askedAtMillis true time at which it was asked for, if it is known well enough
    * @param recordedLeaving since when servers leave, as earlier leaders recorded it
    */
   synchronized boolean replace(
       long newTerm,
       ServerListing listing,
       long nowMillis,
-      long askedAtMillis,
+      OptionalLong askedAtMillis,
       Map<BackendServerId, Long> recordedLeaving) {
     List<GatewayServer> read = complete(newTerm, listing, nowMillis);
     if (newTerm != term) {
@@ -140,6 +155,18 @@
     return server.leaving() ? server.leavingSince(leavingTimes.since(server.id())) : server;
   }
 
+  /** Returns whether servers of several software versions serve one service, as in a release. */
+  synchronized boolean hasMixedVersions() {
+    return servers.stream()
+        .collect(
+            Collectors.groupingBy(
+                GatewayServer::service,
+                Collectors.mapping(GatewayServer::version, Collectors.toSet())))
+        .values()
+        .stream()
+        .anyMatch(versions -> versions.size() > 1);
+  }
+
   /** Returns since when servers leave, for those of which it is known, in Unix milliseconds. */
   synchronized Map<BackendServerId, Long> leavingSince() {
     return leavingTimes.known();
--- a/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/ServerDirectoryTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
@@ -41,7 +43,7 @@
   }
 
   private boolean replace(long term, ServerListing listing, long nowMillis) {
-    return directory.replace(term, listing, nowMillis, nowMillis, Map.of());
+    return directory.replace(term, listing, nowMillis, OptionalLong.of(nowMillis), Map.of());
   }
 
   private static List<GatewayServer> listedWithOneLeaving() {
@@ -61,11 +63,14 @@
   // Guards against a drain that is counted from a later moment than the platform's own list.
   @Example
   void serverLeavesSinceItWasLastReadAsNotLeaving() {
-    directory.replace(TERM, listing(listed()), 10_050, 10_000, Map.of());
-    directory.replace(TERM, listing(listed()), 10_800, 10_700, Map.of());
-    directory.replace(TERM, listing(listedWithOneLeaving()), 11_500, 11_400, Map.of());
+    directory.replace(TERM, listing(listed()), 10_050, OptionalLong.of(10_000), Map.of());
+    directory.replace(TERM, listing(listed()), 10_800, OptionalLong.of(10_700), Map.of());
+    directory.replace(
+        TERM, listing(listedWithOneLeaving()), 11_500, OptionalLong.of(11_400), Map.of());
     assertThat(leavingSince()).isEqualTo(10_700);
-    assertThat(directory.replace(TERM, listing(listedWithOneLeaving()), 12_200, 12_100, Map.of()))
+    assertThat(
+            directory.replace(
+                TERM, listing(listedWithOneLeaving()), 12_200, OptionalLong.of(12_100), Map.of()))
         .isFalse();
     assertThat(leavingSince()).isEqualTo(10_700);
   }
@@ -73,32 +78,67 @@
   // Guards against a drain that is counted from a notice although the server was known to leave.
   @Example
   void serverThatToldAnEntryLeavesSinceTheLastReadingBefore() {
-    directory.replace(TERM, listing(listed()), 10_050, 10_000, Map.of());
+    directory.replace(TERM, listing(listed()), 10_050, OptionalLong.of(10_000), Map.of());
     directory.reportLeaving(TERM, List.of(LEAVING));
-    directory.replace(TERM, listing(listed()), 10_800, 10_700, Map.of());
-    directory.replace(TERM, listing(listedWithOneLeaving()), 11_500, 11_400, Map.of());
+    directory.replace(TERM, listing(listed()), 10_800, OptionalLong.of(10_700), Map.of());
+    directory.replace(
+        TERM, listing(listedWithOneLeaving()), 11_500, OptionalLong.of(11_400), Map.of());
     assertThat(leavingSince()).isEqualTo(10_000);
   }
 
   // Guards against a new leader that counts a drain from its own first reading.
   @Example
   void newLeaderKnowsOnlyWhatAnEarlierOneRecorded() {
-    directory.replace(TERM, listing(listed()), 10_050, 10_000, Map.of());
+    directory.replace(TERM, listing(listed()), 10_050, OptionalLong.of(10_000), Map.of());
     List<GatewayServer> servers = listedWithOneLeaving();
-    directory.replace(TERM + 1, listing(servers), 11_500, 11_400, Map.of());
+    directory.replace(TERM + 1, listing(servers), 11_500, OptionalLong.of(11_400), Map.of());
     assertThat(leavingSince()).isZero();
     assertThat(directory.leavingSince()).isEmpty();
-    directory.replace(TERM + 1, listing(servers), 12_200, 12_100, Map.of(LEAVING, 10_000L));
+    directory.replace(
+        TERM + 1, listing(servers), 12_200, OptionalLong.of(12_100), Map.of(LEAVING, 10_000L));
     assertThat(leavingSince()).isEqualTo(10_000);
   }
 
+  // Guards against a time by the wrong clock of a leader that has not heard from the entries yet.
+  @Example
+  void noTimeIsKnownBeforeTrueTimeHasSettled() {
+    directory.replace(TERM, listing(listed()), 10_050, OptionalLong.empty(), Map.of());
+    List<GatewayServer> servers = listedWithOneLeaving();
+    Map<BackendServerId, Long> recorded = Map.of(LEAVING, 9_000L);
+    directory.replace(TERM, listing(servers), 10_800, OptionalLong.empty(), recorded);
+    assertThat(leavingSince()).isZero();
+    directory.replace(TERM, listing(servers), 11_500, OptionalLong.of(11_400), recorded);
+    assertThat(leavingSince()).isEqualTo(9_000);
+  }
+
+  // Guards against a drain that is counted from a reading which the list's lag made too late.
+  @Example
+  void lagOfTheListIsTakenOff() {
+    ServerDirectory lagging = new ServerDirectory(Duration.ofMillis(800));
+    lagging.replace(TERM, listing(listed()), 10_050, OptionalLong.of(10_000), Map.of());
+    lagging.replace(
+        TERM, listing(listedWithOneLeaving()), 10_800, OptionalLong.of(10_700), Map.of());
+    assertThat(lagging.leavingSince()).containsExactly(Map.entry(LEAVING, 9_200L));
+  }
+
   // Guards against a second life of a server whose drain is counted from its first.
   @Example
   void serverThatIsBackAndLeavesAgainHasANewTime() {
-    directory.replace(TERM, listing(listedWithOneLeaving()), 10_050, 10_000, Map.of(LEAVING, 9L));
-    directory.replace(TERM, listing(listed()), 20_050, 20_000, Map.of(LEAVING, 9L));
+    directory.replace(
+        TERM,
+        listing(listedWithOneLeaving()),
+        10_050,
+        OptionalLong.of(10_000),
+        Map.of(LEAVING, 9L));
+    directory.replace(
+        TERM, listing(listed()), 20_050, OptionalLong.of(20_000), Map.of(LEAVING, 9L));
     assertThat(leavingSince()).isZero();
-    directory.replace(TERM, listing(listedWithOneLeaving()), 30_050, 30_000, Map.of(LEAVING, 9L));
+    directory.replace(
+        TERM,
+        listing(listedWithOneLeaving()),
+        30_050,
+        OptionalLong.of(30_000),
+        Map.of(LEAVING, 9L));
     assertThat(leavingSince()).isEqualTo(20_000);
   }
 
--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -43,6 +43,8 @@
  * @param drainSeconds time from the stop signal until the process is killed
  * @param serverDrainMillis how long a backend server serves after the platform first lists it as
  *     leaving; until shortly before, it gets streams that can go on nowhere else; 3000 if absent
+ * @param serverListLagMillis by how much the platform's list of backend servers may lag; 800 if
+ *     absent
  * @param maxServerPauseSeconds longest time for which an entry sends nothing to a backend server
  *     that asks for it; bounds the loss when a server asks for far too long by mistake; 60 if
  *     absent
@@ -82,6 +84,7 @@
     double retrySlack,
     double drainSeconds,
     Optional<Long> serverDrainMillis,
+    Optional<Long> serverListLagMillis,
     Optional<Double> maxServerPauseSeconds,
     Optional<Double> coldOverage,
     Optional<Double> coldSlack,
@@ -93,6 +96,7 @@
     Optional<List<String>> contracts,
     Optional<Boolean> overloadProtection) {
   private static final long DEFAULT_SERVER_DRAIN_MILLIS = 3000;
+  private static final long DEFAULT_SERVER_LIST_LAG_MILLIS = 800;
   private static final double DEFAULT_HEDGE_QUANTILE = 0.95;
   private static final double DEFAULT_MAX_SERVER_PAUSE_SECONDS = 60;
   private static final double DEFAULT_COLD_OVERAGE = 1.5;
@@ -194,6 +198,10 @@
     return Duration.ofMillis(serverDrainMillis.orElse(DEFAULT_SERVER_DRAIN_MILLIS));
   }
 
+  Duration serverListLag() {
+    return Duration.ofMillis(serverListLagMillis.orElse(DEFAULT_SERVER_LIST_LAG_MILLIS));
+  }
+
   Duration maxServerPause() {
     return millis(maxServerPauseSeconds.orElse(DEFAULT_MAX_SERVER_PAUSE_SECONDS));
   }
--- a/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewayVoter.java
@@ -48,7 +48,7 @@
             network::send,
             fatal,
             metrics);
-    ServerDirectory directory = new ServerDirectory();
+    ServerDirectory directory = new ServerDirectory(settings.serverListLag());
     WindowCounts counts = new WindowCounts();
     TrueTime time = new TrueTime(clocks);
     FleetLoad loads = new FleetLoad();
--- a/routing/src/main/java/org/endivemux/routing/fleet/ServerDrains.java
+++ b/routing/src/main/java/org/endivemux/routing/fleet/ServerDrains.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.gateway.GatewayServer;
 
@@ -13,8 +14,9 @@
  *
  * <p>A server serves for a known time after it is first listed as leaving, and after it says so
  * itself. Invariants: the end is never later than that time less {@link #MARGIN}, counted from the
- * earlier of both; a server that is listed as leaving since an unknown time gets nothing. Does no
- * I/O and reads no clock: monotonic nanoseconds are passed in. Not thread-safe.
+ * earlier of both; it never moves to a later time while the server leaves, whatever clocks and
+ * lists say; a server that is listed as leaving since an unknown time gets nothing. Does no I/O and
+ * reads no clock: monotonic nanoseconds are passed in. Not thread-safe.
  */
 final class ServerDrains {
   /** Covers the way to the server and the error of the estimate of true time. */
@@ -43,16 +45,17 @@
    * @param trueMillis true time at {@code now}, in Unix milliseconds
    */
   void updateServers(List<GatewayServer> listed, long now, long trueMillis) {
-    listedEnds.clear();
-    listed.stream()
-        .filter(server -> server.leaving() && server.leavingSinceMillis() > 0)
+    List<GatewayServer> leaving = listed.stream().filter(GatewayServer::leaving).toList();
+    listedEnds
+        .keySet()
+        .retainAll(leaving.stream().map(GatewayServer::id).collect(Collectors.toSet()));
+    leaving.stream()
+        .filter(server -> server.leavingSinceMillis() > 0)
         .forEach(
-            server ->
-                listedEnds.put(
-                    server.id(),
-                    now
-                        + (server.leavingSinceMillis() - trueMillis) * NANOS_PER_MILLI
-                        + usableNanos));
+            server -> {
+              long age = (trueMillis - server.leavingSinceMillis()) * NANOS_PER_MILLI;
+              listedEnds.merge(server.id(), now - age + usableNanos, Math::min);
+            });
   }
 
   /** Returns whether a server leaves and still serves. */
--- a/routing/src/test/java/org/endivemux/routing/fleet/DrainingServerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/DrainingServerTest.java
@@ -157,6 +157,19 @@
     assertThat(isRefused(1000)).isTrue();
   }
 
+  // Guards against a drain that is prolonged by a clock that was set, or by a list of a new leader.
+  @Example
+  void endOfADrainNeverMovesToALaterTime() {
+    GatewayServer old = leaving("old", 500);
+    list(scheduler, 1000, old);
+    scheduler.updateServers(List.of(old), 1000 * MILLI, UNIX_MILLIS - 4000);
+    assertThat(isOpen(old, 1000)).isTrue();
+    assertThat(isOpen(old, 500 + DRAIN_MILLIS)).isFalse();
+    list(scheduler, 1500, server("old", OLD).asLeaving());
+    assertThat(isOpen(old, 1500)).isTrue();
+    assertThat(isOpen(old, 500 + DRAIN_MILLIS)).isFalse();
+  }
+
   // Guards against a request that was bound in time and is sent too late.
   @Example
   void boundStreamIsNotSentAfterTheDrain() {
