--- a/consensus/src/main/java/org/endivemux/consensus/MemberContact.java
+++ b/consensus/src/main/java/org/endivemux/consensus/MemberContact.java
@@ -12,9 +12,4 @@
   boolean isAnswering(Timing timing) {
     return hasAnswered && silentNanos < timing.answerWindowNanos();
   }
-
-  /** Returns whether the member has been silent for so long that a new member may replace it. */
-  boolean isSilent(Timing timing) {
-    return silentNanos > timing.replacementSilenceNanos();
-  }
 }
