--- a/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
+++ b/control/src/main/java/org/endivemux/control/voter/GatewayLeaderTasks.java
@@ -15,10 +15,8 @@
 import org.endivemux.control.state.WindowReports.FinalWindow;
 import org.endivemux.control.voter.PlatformPort.CapacityOrder;
 import org.endivemux.control.voter.PlatformPort.Verdict;
-import org.endivemux.model.BackendServerId;
 import org.endivemux.model.EntryInfo;
 import org.endivemux.model.gateway.GatewayServer;
-import org.endivemux.model.gateway.ServerListing;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -39,21 +37,6 @@
   /** How long a new leader waits with reports and orders; earlier leaders send none after this. */
   private static final long TAKEOVER_DELAY_NANOS = Duration.ofSeconds(2).toNanos();
 
-  /** Shorter than the lag of the platform's list, so that the interval adds little to it. */
-  private static final long LIST_INTERVAL_NANOS = Duration.ofMillis(700).toNanos();
-
-  /**
-   * Interval while several versions of a service are listed: the sooner the leader reads that a
-   * server leaves, the longer streams of its version may go on there.
-   */
-  private static final long RELEASE_LIST_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
-
-  /** A longer list takes several calls, whose number the platform limits. */
-  private static final int MAX_SERVERS_OF_A_RELEASE_INTERVAL = 100;
-
-  /** A new leader's estimate of true time may be its own clock alone until entries have polled. */
-  private static final long TRUE_TIME_SETTLING_NANOS = Duration.ofSeconds(1).toNanos();
-
   private static final long ORDER_INTERVAL_NANOS = Duration.ofSeconds(1).toNanos();
 
   /** An unchanged order is repeated after this, because the platform's response may be lost. */
@@ -81,7 +64,7 @@
   private final ControlService service;
   private final PlatformPort platform;
   private final ServerDirectory directory;
-  private final StreamRecorder streams;
+  private final ServerListReader list;
   private final WindowCounts counts;
   private final TrueTime time;
   private final Clocks clocks;
@@ -95,8 +78,6 @@
   private volatile Disposable schedule = () -> {};
   private volatile long leaderTerm = -1;
   private volatile long leaderSince;
-  private volatile long listReadAt = Long.MIN_VALUE / 2;
-  private volatile long listChangedAt = Long.MIN_VALUE / 2;
   private volatile long orderedAt = Long.MIN_VALUE / 2;
 
   /** Decides how many backend servers of each kind are wanted. Thread-safe. */
@@ -120,7 +101,8 @@
     this.service = service;
     this.platform = platform;
     this.directory = directory;
-    this.streams = streams;
+    this.list =
+        new ServerListReader(platform, directory, streams, time, clocks, service::wakePolls);
     this.counts = counts;
     this.time = time;
     this.clocks = clocks;
@@ -141,7 +123,7 @@
     }
     updateTerm();
     service.removeSilentEntries();
-    runUnlessBusy(listing, "list", this::readList);
+    runUnlessBusy(listing, "list", () -> list.readIfDue(leaderTerm, leaderSince));
     if (clocks.nanos() - leaderSince > TAKEOVER_DELAY_NANOS) {
       runUnlessBusy(reporting, "usage", this::reportUsage);
     }
@@ -153,7 +135,7 @@
   private boolean isListSettled() {
     long now = clocks.nanos();
     boolean settled =
-        now - listChangedAt > LIST_SETTLED_NANOS || now - leaderSince > MAX_LIST_SETTLING_NANOS;
+        now - list.changedAt() > LIST_SETTLED_NANOS || now - leaderSince > MAX_LIST_SETTLING_NANOS;
     return now - leaderSince > TAKEOVER_DELAY_NANOS && settled;
   }
 
@@ -181,54 +163,6 @@
             });
   }
 
-  private Mono<Void> readList() {
-    if (clocks.nanos() - listReadAt < listIntervalNanos()) {
-      return Mono.empty();
-    }
-    listReadAt = clocks.nanos();
-    long term = leaderTerm;
-    OptionalLong askedAtMillis = trueMillisIfSettled();
-    return platform
-        .servers()
-        .flatMap(
-            listing ->
-                streams
-                    .noteListed(term, directory.complete(term, listing, time.millis()))
-                    .then(Mono.fromFuture(streams::recordedLeaving))
-                    .doOnNext(recorded -> applyList(term, listing, askedAtMillis, recorded)))
-        .then();
-  }
-
-  private long listIntervalNanos() {
-    boolean isShort = directory.servers().size() <= MAX_SERVERS_OF_A_RELEASE_INTERVAL;
-    return isShort && directory.hasMixedVersions()
-        ? RELEASE_LIST_INTERVAL_NANOS
-        : LIST_INTERVAL_NANOS;
-  }
-
-  private OptionalLong trueMillisIfSettled() {
-    boolean isSettled = clocks.nanos() - leaderSince > TRUE_TIME_SETTLING_NANOS;
-    return isSettled ? OptionalLong.of(time.millis()) : OptionalLong.empty();
-  }
-
-  private void applyList(
-      long term,
-      ServerListing listing,
-      OptionalLong askedAtMillis,
-      Map<BackendServerId, Long> recordedLeaving) {
-    boolean isChanged =
-        directory.replace(term, listing, time.millis(), askedAtMillis, recordedLeaving);
-    streams.noteLeaving(directory.leavingSince(), recordedLeaving);
-    if (isChanged) {
-      List<GatewayServer> servers = directory.servers();
-      listChangedAt = clocks.nanos();
-      logger.atInfo().log(
-          "event=servers_changed term=%d count=%d leaving=%d",
-          term, servers.size(), servers.stream().filter(GatewayServer::leaving).count());
-      service.wakePolls();
-    }
-  }
-
   private Mono<Void> reportUsage() {
     return Mono.fromFuture(voter.read(this::windowToFix))
         .filter(OptionalLong::isPresent)
--- a/gateway/src/test/java/org/endivemux/gateway/DrainingStreamTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DrainingStreamTest.java
@@ -70,20 +70,11 @@
             isResumption ? Optional.of("first") : Optional.empty(),
             plain.prompt(),
             plain.forwardedHeaders());
-    AdmittedRequest admitted =
-        RelayRuns.admitted(
-            RelayRuns.route(RequestKind.STREAM, 3, true), RelayRuns.LIMIT, PromptShape.none());
+    AdmittedRequest request =
+        RelayRuns.admitted(RelayRuns.route(RequestKind.STREAM, 3, true), head);
     return RelayRuns.run(
         backend,
-        new AdmittedRequest(
-            head,
-            admitted.route(),
-            admitted.service(),
-            admitted.organisation(),
-            admitted.urgency(),
-            admitted.longPrompts(),
-            admitted.arrivedAt(),
-            admitted.deadline()),
+        request,
         50,
         new PlannedStop(),
         pool,
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -164,6 +164,20 @@
         now + limit.toNanos());
   }
 
+  /** Returns a request with a head of its own. */
+  static AdmittedRequest admitted(HostRoute route, RequestHead head) {
+    AdmittedRequest plain = admitted(route, LIMIT, PromptShape.none());
+    return new AdmittedRequest(
+        head,
+        route,
+        plain.service(),
+        plain.organisation(),
+        plain.urgency(),
+        plain.longPrompts(),
+        plain.arrivedAt(),
+        plain.deadline());
+  }
+
   static String text(Flux<ResponsePart> parts) {
     return parts
         .map(
--- a/gateway/src/test/java/org/endivemux/gateway/StreamResumptionTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/StreamResumptionTest.java
@@ -41,19 +41,8 @@
   }
 
   private Flux<ResponsePart> run(RequestHead head, StreamVersionLookup versions) {
-    AdmittedRequest admitted =
-        RelayRuns.admitted(
-            RelayRuns.route(RequestKind.STREAM, 2, true), RelayRuns.LIMIT, PromptShape.none());
     AdmittedRequest request =
-        new AdmittedRequest(
-            head,
-            admitted.route(),
-            admitted.service(),
-            admitted.organisation(),
-            admitted.urgency(),
-            admitted.longPrompts(),
-            admitted.arrivedAt(),
-            admitted.deadline());
+        RelayRuns.admitted(RelayRuns.route(RequestKind.STREAM, 2, true), head);
     return RelayRuns.run(
         backend,
         request,
--- a/routing/src/test/java/org/endivemux/routing/fleet/DrainingServerTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/DrainingServerTest.java
@@ -14,7 +14,6 @@
 import net.jqwik.api.Property;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
-import org.endivemux.model.RequestId;
 import org.endivemux.model.ServerKind;
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.SoftwareVersion;
@@ -62,18 +61,7 @@
   }
 
   private FleetJob job(Optional<SoftwareVersion> version, Set<BackendServerId> avoid) {
-    return new FleetJob(
-        new RequestId("job" + jobs++),
-        Fleet.LLM,
-        1,
-        0,
-        Long.MAX_VALUE,
-        PromptShape.none(),
-        false,
-        0,
-        Optional.empty(),
-        avoid,
-        version);
+    return Fleet.jobOfVersion("job" + jobs++, version, avoid);
   }
 
   private FleetJob continued() {
--- a/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/Fleet.java
@@ -19,6 +19,7 @@
 import org.endivemux.model.gateway.GatewayServer;
 import org.endivemux.model.gateway.ServiceName;
 import org.endivemux.model.gateway.ServiceSpec;
+import org.endivemux.model.gateway.SoftwareVersion;
 
 /** Creates fleets and jobs for tests. Stateless. */
 final class Fleet {
@@ -125,4 +126,21 @@
             new PromptPart(session, 4000),
             new PromptPart(session + "-own", 500)));
   }
+
+  /** Returns a job that arrives at once and that only servers of one version may run, if any. */
+  static FleetJob jobOfVersion(
+      String id, Optional<SoftwareVersion> version, Set<BackendServerId> avoid) {
+    return new FleetJob(
+        new RequestId(id),
+        LLM,
+        1,
+        0,
+        Long.MAX_VALUE,
+        PromptShape.none(),
+        false,
+        0,
+        Optional.empty(),
+        avoid,
+        version);
+  }
 }
--- a/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
+++ b/routing/src/test/java/org/endivemux/routing/fleet/JobOfOneVersionTest.java
@@ -39,18 +39,7 @@
 
   private static FleetJob job(
       String id, Optional<SoftwareVersion> version, Set<BackendServerId> avoid) {
-    return new FleetJob(
-        new RequestId(id),
-        Fleet.LLM,
-        1,
-        0,
-        Long.MAX_VALUE,
-        PromptShape.none(),
-        false,
-        0,
-        Optional.empty(),
-        avoid,
-        version);
+    return Fleet.jobOfVersion(id, version, avoid);
   }
 
   private boolean isOpen(GatewayServer server) {
