--- a/control/src/main/java/org/endivemux/control/voter/ServerListReader.java
+++ b/control/src/main/java/org/endivemux/control/voter/ServerListReader.java
@@ -24,11 +24,17 @@
   private static final long INTERVAL_NANOS = Duration.ofMillis(700).toNanos();
 
   /**
-   * Interval while several versions of a service are listed: the sooner the leader reads that a
-   * server leaves, the longer streams of its version may go on there.
+   * Interval while several versions of a service are listed and the list is calm: the sooner the
+   * leader reads that a server leaves, the longer streams of its version may go on there.
    */
   private static final long RELEASE_INTERVAL_NANOS = Duration.ofMillis(200).toNanos();
 
+  /**
+   * A list that changes at each usual reading is not calm: servers that crash in turn would get
+   * requests, and crash again, the sooner it is read.
+   */
+  private static final long CALM_NANOS = Duration.ofSeconds(1).toNanos();
+
   /** A longer list takes several calls, whose number the platform limits. */
   private static final int MAX_SERVERS_OF_A_RELEASE_INTERVAL = 100;
 
@@ -89,8 +95,11 @@
   }
 
   private long intervalNanos() {
+    boolean isCalm = clocks.nanos() - changedAt > CALM_NANOS;
     boolean isShort = directory.servers().size() <= MAX_SERVERS_OF_A_RELEASE_INTERVAL;
-    return isShort && directory.hasMixedVersions() ? RELEASE_INTERVAL_NANOS : INTERVAL_NANOS;
+    return isCalm && isShort && directory.hasMixedVersions()
+        ? RELEASE_INTERVAL_NANOS
+        : INTERVAL_NANOS;
   }
 
   private OptionalLong trueMillisIfSettled(long leaderSince) {
--- a/control/src/test/java/org/endivemux/control/voter/StreamRecorderTest.java
+++ b/control/src/test/java/org/endivemux/control/voter/StreamRecorderTest.java
@@ -3,22 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Function;
 import java.util.stream.IntStream;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
-import org.endivemux.consensus.ConsensusCore.Status;
 import org.endivemux.control.message.ControlRequest.FindStreamVersion;
-import org.endivemux.control.state.Command;
-import org.endivemux.control.state.CommandResult;
-import org.endivemux.control.state.ControlState;
-import org.endivemux.control.state.VersionNote;
 import org.endivemux.model.BackendServerId;
 import org.endivemux.model.FailureDomain;
 import org.endivemux.model.ServerKind;
@@ -39,7 +31,7 @@
   private final VirtualTimeScheduler time = VirtualTimeScheduler.getOrSet();
   private final Clocks clocks =
       new Clocks(() -> time.now(TimeUnit.NANOSECONDS), () -> time.now(TimeUnit.MILLISECONDS));
-  private final Leader leader = new Leader();
+  private final CommittingState leader = new CommittingState(clocks);
   private final StreamRecorder recorder = new StreamRecorder(leader, new TrueTime(clocks));
 
   @AfterTry
@@ -112,51 +104,4 @@
   private static StreamStarts starts(String attempt) {
     return new StreamStarts(SERVICE, OLD, LIFETIME_MILLIS, List.of(StreamKey.of(attempt)));
   }
-
-  /** Commits at once, or never while it is stalled. */
-  private final class Leader implements ReplicatedState {
-    private final ControlState state = new ControlState();
-    private final List<VersionNote> notes = new ArrayList<>();
-    private boolean isStalled;
-    private long index;
-
-    @Override
-    public CompletableFuture<CommandResult> submit(VersionNote note) {
-      notes.add(note);
-      return isStalled
-          ? new CompletableFuture<>()
-          : CompletableFuture.completedFuture(
-              state.apply(
-                  ++index,
-                  new Command.Stamped(clocks.millis(), Command.noChange(), Optional.of(note))));
-    }
-
-    @Override
-    public CompletableFuture<CommandResult> submit(Command command) {
-      throw new AssertionError("Only notes are written.");
-    }
-
-    @Override
-    public <T> CompletableFuture<T> read(Function<ControlState, T> query) {
-      return CompletableFuture.completedFuture(query.apply(state));
-    }
-
-    @Override
-    public void onViewChanged(Runnable listener) {}
-
-    @Override
-    public Status status() {
-      throw new AssertionError("The status is not asked for.");
-    }
-
-    @Override
-    public long publishedRevision() {
-      return 0;
-    }
-
-    @Override
-    public boolean holdsLease() {
-      return true;
-    }
-  }
 }
