Build the heads of resumptions in one place in the gateway's tests

Cause: DrainingStreamTest repeated the head that StreamResumptionTest builds. Change: RelayRuns.head serves both; no check changes.

--- a/gateway/src/test/java/org/endivemux/gateway/DrainingStreamTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/DrainingStreamTest.java
@@ -24,7 +24,6 @@
 import org.endivemux.model.gateway.RequestKind;
 import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.model.gateway.StreamOriginSource;
-import org.endivemux.routing.fleet.PromptShape;
 import reactor.core.publisher.Flux;
 import reactor.core.scheduler.Schedulers;
 
@@ -57,19 +56,10 @@
   }
 
   private Flux<ResponsePart> run(boolean isResumption) {
-    RequestHead plain = Fixtures.head("/p/x", Optional.empty(), PromptShape.none());
     RequestHead head =
-        new RequestHead(
-            "again",
-            plain.host(),
-            plain.method(),
-            plain.uri(),
-            plain.key(),
-            plain.maxWaitMillis(),
-            isResumption ? OptionalLong.of(1) : OptionalLong.empty(),
-            isResumption ? Optional.of("first") : Optional.empty(),
-            plain.prompt(),
-            plain.forwardedHeaders());
+        isResumption
+            ? RelayRuns.head("again", Optional.of("first"), OptionalLong.of(1))
+            : RelayRuns.head("again", Optional.empty(), OptionalLong.empty());
     AdmittedRequest request =
         RelayRuns.admitted(RelayRuns.route(RequestKind.STREAM, 3, true), head);
     return RelayRuns.run(
--- a/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
+++ b/gateway/src/test/java/org/endivemux/gateway/RelayRuns.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.endivemux.control.client.GatewaySyncState;
 import org.endivemux.control.client.StreamVersionLookup;
 import org.endivemux.control.voter.Clocks;
@@ -164,6 +165,22 @@
         now + limit.toNanos());
   }
 
+  /** Returns the head of a request that names another attempt or resumes its stream, if any. */
+  static RequestHead head(String id, Optional<String> resumes, OptionalLong resumeAfter) {
+    RequestHead plain = Fixtures.head("/p/x", Optional.empty(), PromptShape.none());
+    return new RequestHead(
+        id,
+        plain.host(),
+        plain.method(),
+        plain.uri(),
+        plain.key(),
+        plain.maxWaitMillis(),
+        resumeAfter,
+        resumes,
+        plain.prompt(),
+        plain.forwardedHeaders());
+  }
+
   /** Returns a request with a head of its own. */
   static AdmittedRequest admitted(HostRoute route, RequestHead head) {
     AdmittedRequest plain = admitted(route, LIMIT, PromptShape.none());
--- a/gateway/src/test/java/org/endivemux/gateway/StreamResumptionTest.java
+++ b/gateway/src/test/java/org/endivemux/gateway/StreamResumptionTest.java
@@ -18,7 +18,6 @@
 import org.endivemux.model.gateway.SoftwareVersion;
 import org.endivemux.model.gateway.StreamKey;
 import org.endivemux.model.gateway.StreamOriginSource;
-import org.endivemux.routing.fleet.PromptShape;
 import reactor.core.publisher.Flux;
 import reactor.core.scheduler.Schedulers;
 
@@ -54,22 +53,8 @@
   }
 
   private static RequestHead head(String id, Optional<String> resumes) {
-    return head(id, resumes, resumes.isPresent() ? OptionalLong.of(1) : OptionalLong.empty());
-  }
-
-  private static RequestHead head(String id, Optional<String> resumes, OptionalLong resumeAfter) {
-    RequestHead plain = Fixtures.head("/p/x", Optional.empty(), PromptShape.none());
-    return new RequestHead(
-        id,
-        plain.host(),
-        plain.method(),
-        plain.uri(),
-        plain.key(),
-        plain.maxWaitMillis(),
-        resumeAfter,
-        resumes,
-        plain.prompt(),
-        plain.forwardedHeaders());
+    return RelayRuns.head(
+        id, resumes, resumes.isPresent() ? OptionalLong.of(1) : OptionalLong.empty());
   }
 
   private static RequestHead resume(String id) {
@@ -144,7 +129,7 @@
     text(run(head("first", Optional.empty()), versions));
     pool.updateServers(List.of(server(2, NEW)), 0);
     backend.then(responds(200, false, "id: 1\ndata: b\n\n"));
-    text(run(head("other", Optional.of("first"), OptionalLong.empty()), versions));
+    text(run(RelayRuns.head("other", Optional.of("first"), OptionalLong.empty()), versions));
 
     assertThat(versions.ledger().version(RelayRuns.SERVICE, StreamKey.of("first"))).hasValue(OLD);
     assertThat(versions.ledger().version(RelayRuns.SERVICE, StreamKey.of("other"))).hasValue(NEW);
