--- a/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
+++ b/daemon/src/main/java/org/endivemux/daemon/GatewaySettings.java
@@ -132,9 +132,17 @@
       throw new SettingsException(file, String.join(", ", missing), "has no value; give it one.");
     }
     checkHedging(settings, file);
+    checkServerTimes(settings, file);
     return settings;
   }
 
+  private static void checkServerTimes(GatewaySettings settings, Path file) {
+    if (settings.serverDrain().isNegative() || settings.serverListLag().isNegative()) {
+      throw new SettingsException(
+          file, "serverDrainMillis, serverListLagMillis", "is negative; use 0 or more.");
+    }
+  }
+
   private static void checkHedging(GatewaySettings settings, Path file) {
     try {
       var unused = settings.hedgePolicy();
--- a/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
+++ b/model/src/main/java/org/endivemux/model/gateway/GatewayServer.java
@@ -18,8 +18,8 @@
  * @param version version of its software; empty if the platform does not state it, and from
  *     processes of an earlier version
  * @param leavingSinceMillis true time in Unix milliseconds after which the platform first listed it
- *     as leaving: when it was last read as not leaving; 0 if it does not leave, if that time is not
- *     known, and from processes of an earlier version
+ *     as leaving: when it was last read as not leaving, less the lag of the list; 0 if it does not
+ *     leave, if that time is not known, and from processes of an earlier version
  */
 public record GatewayServer(
     BackendServerId id,
